--- /dev/null
+++ b/orchidhill/gateway.py
@@ -0,0 +1,721 @@
+"""Every decision of the gateway.  Types, events and actions: orchidhill/interface.py.
+
+Reading order: tuned values; state; Gateway: admission by lease (GALE), trouble at the counter, backends,
+attempts and final answers, the tick.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+from orchidhill import interface as i
+from orchidhill.interface import Effect, Outcome, Scope, State
+
+# Tuned values: seconds, units or plain ratios.
+TICK = 0.025  # how often held work is looked at
+WATCH_TICKS = 2  # ticks between looks at attempts that are out and at idle leases
+LEARN_RATE = 0.5  # AdaGrad step on ln(batch)
+STRAND_FLOOR = 0.5  # least strand penalty, in counter calls: nothing is stranded for free
+IDLE_SHARE = 0.25  # credit idle for this part of its window goes back
+FORGET = 30.0  # idle records, and what the counter said of a customer, are dropped after this
+PACE = 800.0  # counter calls a second to begin with, by all gateways
+PACE_LEAST = 60.0  # while it answers nothing: enough to see it come back
+PACE_UP = 1.01  # factor on the pace for each quick answer while it binds
+PACE_CUT = 0.88  # and for each call that fails or takes half its time-out
+NEWEST = 0.3  # weight of the newest grant or denial, the newest report, a reported against an own attempt
+TARGET = 0.5  # latency aimed at, as a share of the class's aim
+FIRST_LIMIT = 12.0  # attempts out at a mean backend, all gateways, before anything is known
+SPREAD = 0.7  # standard deviations of room above the mean: a gateway's load comes unevenly
+LEAST_LIMIT = 4.0  # and at least: an idle core serves nobody
+BACKOFF = 0.85  # factor on that limit when the target is missed
+MISSED = 0.3  # by more than this part of the answers: not by one slow backend or costly request
+SMOOTH = 0.1  # weight of the newest latency
+FIRST_LATENCY = 0.3  # guess before the first answer
+EJECT = 8.0  # times the pool's latency that a failed connection counts as
+SUSPECT = 2.5  # times the pool's latency that make a backend suspect
+RESEND_BUDGET = 0.1  # further attempts for overdue ones, per first attempt
+COLD_SAFETY = 0.7  # part of the cold budget that is used: work per request varies
+CANDIDATES = 12  # backends looked at for an attempt: the fleet may be large
+POOL = 8  # load reports kept fresh where they must be asked for
+FRESH = 1.5  # for which a report counts; older ones say no more than the fleet's mean
+UNASKED = 0.8  # strain from which only what the counter granted is let in
+RATE_SPAN = 5.0  # memory of the observed load
+MARGIN = 0.03  # time kept before a deadline or a memory span runs out
+EPS = 1e-4  # totals come back to seven digits
+
+
+def mix(*parts: int) -> int:
+    """A stable 64-bit name that every gateway derives alike."""
+    return int.from_bytes(blake2b(repr(parts).encode(), digest_size=8).digest(), "little")
+
+
+@dataclass(slots=True)
+class Lease:
+    """A customer's leased budget at this gateway: rate units, or slots where `slots` is set."""
+
+    customer: int
+    plan: i.Plan
+    width: int
+    slots: bool
+    length: float  # of a window
+    phase: float  # customers' windows roll at different times, to spread the calls
+    base: float  # a window's own limit
+    size: float  # ln of the batch to lease
+    window: int = -1
+    credits: float = 0.0
+    asked: float = 0.0  # the batch of the lease in flight
+    waiting: bool = False  # whether one is
+    total: float = 0.0  # last total seen of this window
+    mine: float = 0.0  # what the counter confirmed of my adds to this window
+    odds: float = 1.0  # share of this customer's leases that were granted
+    owed: float = 0.0  # units let in while the counter was silent, to be added yet
+    denied_until: float = 0.0
+    checked: float = -math.inf  # when the counter last answered for it
+    served: float = 0.0
+    slope: float = 1e-6  # AdaGrad's sum of squared gradients
+    in_use: int = 0  # slots of attempts out
+    bucket: float = 0.0  # local share, for when the counter cannot be asked
+    bucket_at: float = 0.0
+    touched: float = 0.0
+    waiters: deque[Job] = field(default_factory=deque)
+
+
+@dataclass(slots=True)
+class Backend:
+    entry: i.Entry
+    out: dict[tuple[int, int], float] = field(default_factory=dict)  # attempts out, oldest first
+    state: State = State.READY
+    latency: float = FIRST_LATENCY
+    answered: float = 0.0  # when it last answered
+    seen: float = 0.0  # when anything was last learned of it
+    load: float = 0.0  # waiting requests and busy share, as last reported
+    load_at: float = -math.inf
+    silent: dict[int, float] = field(default_factory=dict)  # classes it left unanswered, and when
+    cold_level: float = 0.0  # token bucket for sends while it is cold
+    cold_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Job:
+    """A request that still needs an answer, or whose attempts are still out."""
+
+    req: i.Request
+    cls: i.RequestClass
+    plan: i.Plan
+    arrived: float
+    end: float
+    leases: list[Lease]
+    held: list[Lease] = field(default_factory=list)  # leases whose credit it holds
+    out: dict[int, tuple[Backend, float]] = field(default_factory=dict)
+    tried: list[int] = field(default_factory=list)
+    attempts: int = 0
+    window: int = 0  # whose credit it holds
+    ran: tuple[Backend, float] | None = None  # first attempt that may have run
+    closed: bool = False
+
+
+class Gateway:  # decides for one gateway; `handle` is the only way in
+    def __init__(self, settings: i.Settings, seed: int) -> None:
+        self.settings = settings
+        self.random = random.Random(seed)
+        self.backends: dict[int, Backend] = {}
+        self.jobs: dict[int, Job] = {}
+        self.queue: list[Job] = []
+        self.leases: dict[tuple[int, bool], Lease] = {}
+        self.calls: dict[int, deque[tuple[Lease, int, float, bool]]] = {}
+        self.actions: list[i.Action] = []
+        self.now, self.tick_at = 0.0, -math.inf  # when the timer that is set comes due
+        self.scan_at, self.probe_at = 0.0, 0.0
+        self.live: list[Backend] = []  # listed ready
+        # Mean of what backends report to hold; latencies and the loads that they met, fading sums.
+        self.load, self.took, self.met = 0.0, FIRST_LATENCY, 1.0
+        self.aim = min((c.aim for c in settings.classes), default=1.0)
+        self.holding: dict[tuple[int, bool], Lease] = {}  # leases with credit or slots to give back
+        self.latency = FIRST_LATENCY
+        self.peers = max(1, settings.peers)
+        self.pace = PACE / self.peers if settings.has_counter else 0.0
+        self.steady, self.cut_at = self.pace, 0.0  # pace before the counter's trouble; its last cut
+        self.calls_left, self.calls_at = 1 + self.random.random(), 0.0
+        # Share of the counter calls that fail, smoothed; attempts out at live backends.
+        self.failing, self.out = 0.0, 0
+        self.room = FIRST_LIMIT / self.peers  # attempts out at a mean backend, mine
+        self.missed, self.lowered = 0.0, 0.0  # answers later than their target; last cut of `room`
+        self.warm_sends, self.warm_at, self.resends = 0.0, 0.0, 1.0
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        """The actions that answer one event, in order."""
+        self.now, self.actions = now, []
+        match event:
+            case i.Request():
+                self.on_request(event)
+            case i.Finished():
+                self.on_finished(event)
+            case i.Probed() if event.backend in self.backends:
+                self.note(self.backends[event.backend], event.report)
+            case i.Counted():
+                self.on_counted(event)
+            case i.Fired():
+                self.tick()
+            case i.Members():
+                self.on_members(event)
+            case i.Left():
+                self.close(self.jobs.get(event.request))
+        self.set_timer()
+        return self.actions
+
+    # --- admission by lease (GALE) ---------------------------------------------------------------
+
+    def on_request(self, req: i.Request) -> None:
+        plan = self.settings.plans[req.plan]
+        kinds = [slots for slots, on in ((False, plan.rate > 0), (True, plan.parallel > 0)) if on]
+        leases = [self.lease(req, plan, slots) for slots in kinds]
+        job = Job(req, self.settings.classes[req.cls], plan, self.now, self.now + req.left, leases)
+        self.jobs[req.request] = job
+        self.probe()
+        # One too short to serve would be over before the next tick.
+        self.admit(job) if req.left >= MARGIN + 2 * TICK else self.refuse(job, 0.0)
+
+    def lease(self, req: i.Request, plan: i.Plan, slots: bool) -> Lease:
+        lease = self.leases.get((req.customer, slots))
+        if lease is None:
+            # Whole units: a burst, or under a ceiling what fits it twice over and twice more unasked.
+            most = min(plan.burst, plan.ceiling_burst / 4 if plan.ceiling_rate else plan.burst)
+            base = float(plan.parallel) if slots else max(1.0, math.floor(most))
+            length = 2 * max(c.deadline for c in self.settings.classes) if slots else base / plan.rate
+            width = max(1, min(req.width, self.settings.peers))
+            first = max(1.0, base / width)  # a new customer's first lease is its share
+            phase = mix(req.customer) / 2**64 * length
+            lease = Lease(req.customer, plan, width, slots, length, phase, base, math.log(first))
+            # After a restart: no full share.  A client's repeat was refused elsewhere just now.
+            lease.bucket, lease.bucket_at = 0.0 if req.is_retry else 1.0, self.now
+            self.leases[req.customer, slots] = lease
+        self.roll(lease)
+        lease.touched = self.now
+        return lease
+
+    def admit(self, job: Job) -> None:
+        """Take a credit of each of the job's leases, then send it on; else it waits or is refused."""
+        for lease in job.leases:
+            if lease in job.held:
+                continue
+            units = self.units(lease, job)
+            if lease.credits + EPS >= units and not lease.waiters:
+                self.spend(lease, job, units)
+            elif self.now < lease.denied_until:
+                self.refuse(job, lease.denied_until - self.now)
+            elif (lease.waiting or self.may_call()) and not self.calm(lease, units):
+                lease.waiters.append(job)
+                self.ask(lease)
+            else:
+                self.admit_alone(lease, job, units)
+            if lease not in job.held:
+                return
+        self.dispatch(job)
+
+    def spend(self, lease: Lease, job: Job, units: float) -> None:
+        lease.credits -= units
+        lease.served += units
+        lease.bucket = max(self.refill(lease) - units, -lease.base)
+        lease.in_use += 1
+        job.held.append(lease)
+        if not lease.slots:
+            job.window = lease.window
+        if lease.slots or lease.credits > EPS:
+            self.holding[lease.customer, lease.slots] = lease
+
+    def units(self, lease: Lease, job: Job) -> float:
+        return 1.0 if lease.slots else job.req.units
+
+    def roll(self, lease: Lease) -> None:
+        """At the window's edge leftovers expire and the sizer learns from the served demand."""
+        window = math.floor((self.now + lease.phase) / lease.length)
+        if window == lease.window:
+            return
+        if lease.window >= 0:
+            self.learn(lease)
+        lease.window, lease.credits, lease.mine, lease.total, lease.served = window, 0.0, 0.0, 0.0, 0.0
+        lease.denied_until = 0.0
+        lease.owed = float(lease.in_use) if lease.slots else min(lease.owed, lease.base)
+
+    def learn(self, lease: Lease) -> None:
+        """One AdaGrad step on ln b of orderCost*D/b + strandPenalty*b/2 (optimum sqrt(2*o*D/s))."""
+        price = max(self.settings.counter_price, 1e-3)
+        strand = max(STRAND_FLOOR * price, min(1.0, lease.total / lease.base) ** 2)  # dear in a full window
+        batch = math.exp(lease.size)
+        gradient = (strand * batch / 2 - price * lease.served / batch) / price
+        lease.slope += gradient * gradient
+        lease.size -= LEARN_RATE * gradient / math.sqrt(lease.slope)
+        lease.size = min(max(lease.size, 0.0), math.log(max(1.0, lease.base)))
+
+    def ask(self, lease: Lease) -> None:
+        """Lease a batch, unless one is in flight: further shortfalls await that one."""
+        if lease.waiting:
+            return
+        need = sum(self.units(lease, job) for job in lease.waiters) - lease.credits
+        # Whole units: a fraction beside them would serve nobody and expire.
+        lease.asked = max(need, 1.0 if lease.slots else float(round(math.exp(lease.size))))
+        lease.waiting = True
+        self.count(lease, lease.asked + lease.owed, gives=False)
+        lease.owed = 0.0
+
+    def count(self, lease: Lease, amount: float, gives: bool) -> None:
+        name = mix(lease.customer, lease.window, lease.slots)
+        self.calls.setdefault(name, deque()).append((lease, lease.window, amount, gives))
+        self.actions.append(i.Count(name, amount, min(60.0, 4 * lease.length)))
+        self.calls_left, self.calls_at = self.budget() - 1, self.now
+
+    def on_counted(self, event: i.Counted) -> None:
+        pending = self.calls.get(event.name)
+        if not pending:
+            return
+        lease, window, amount, gives = pending.popleft()
+        if not pending:
+            del self.calls[event.name]
+        good = event.outcome is Outcome.OK
+        self.judge_counter(good and event.spent < self.settings.counter_timeout / 2, good)
+        self.roll(lease)
+        current = window == lease.window
+        if good and current:
+            lease.mine += amount
+            lease.total, lease.checked = event.total, self.now
+            if event.total < lease.mine - 0.01:
+                # The counter lost this name: each gateway puts back what it added itself.
+                self.actions.append(i.Log(f"counter-lost customer={lease.customer}"))
+                lease.owed += lease.mine - event.total
+                lease.total, lease.mine = lease.mine, event.total
+        if gives:
+            return
+        lease.waiting = False
+        if not current:  # the batch lapsed with its window
+            self.ask(lease) if lease.waiters else None
+        elif good:
+            self.settle(lease)
+        else:
+            waiters, lease.waiters = lease.waiters, deque()
+            for job in (job for job in waiters if not job.closed):
+                self.admit_alone(lease, job, self.units(lease, job))
+                if lease in job.held:
+                    self.admit(job)
+
+    def settle(self, lease: Lease) -> None:
+        """Keep what fits and serve the waiters; the rest stays added (a full window), but for slots."""
+        excess = max(0.0, lease.total - lease.base)
+        first = self.units(lease, lease.waiters[0]) if lease.waiters else 1.0
+        grant = max(0.0, lease.asked - excess)
+        if excess > EPS:
+            grant = math.floor((grant + lease.credits) / first + EPS) * first - lease.credits
+        if lease.slots:
+            self.give_back(lease, lease.asked - grant)
+        lease.odds += NEWEST * ((grant >= lease.asked - EPS) - lease.odds)
+        lease.credits += grant
+        self.serve(lease, denied=grant < lease.asked - EPS)
+
+    def give_back(self, lease: Lease, units: float) -> None:
+        if units > EPS:
+            self.count(lease, -units, gives=True)
+            lease.total -= units
+
+    def serve(self, lease: Lease, denied: bool) -> None:
+        """Hand credits to waiters in turn; the rest leases again, or is refused if that was denied."""
+        ready = []
+        while lease.waiters:
+            job = lease.waiters[0]
+            units = self.units(lease, job)
+            if not job.closed and lease.credits + EPS < units:
+                break
+            lease.waiters.popleft()
+            if not job.closed:
+                self.spend(lease, job, units)
+                ready.append(job)
+        if denied:  # until the edge; slots come back at any time
+            edge = (lease.window + 1) * lease.length - lease.phase
+            lease.denied_until = self.now + 2 * TICK if lease.slots else edge
+            refused, lease.waiters = lease.waiters, deque()
+            for job in (job for job in refused if not job.closed):
+                self.refuse(job, lease.denied_until - self.now)
+        elif lease.waiters:
+            self.ask(lease)
+        for job in ready:
+            self.admit(job)
+
+    # --- trouble at the counter ------------------------------------------------------------------
+
+    def judge_counter(self, quick: bool, good: bool) -> None:
+        """Calls are paced by their answers: up slowly, down when one fails or is slow, whatever the cause;
+        after a silence doubling back to half.  Chance failures leave more to the local shares for a while.
+        """
+        self.failing += SMOOTH * ((not good) - self.failing)
+        if quick:
+            if self.pace < self.steady / 2:
+                self.pace *= 2
+            elif self.budget() < 1.0:
+                self.pace *= PACE_UP
+                self.steady = max(self.steady, self.pace)
+        elif self.now - self.cut_at > 2 * self.settings.counter_timeout:
+            away = self.failing > 0.5
+            self.pace = max(PACE_LEAST / self.peers, self.pace * PACE_CUT ** (1 + away))
+            self.steady, self.cut_at = self.steady if away else self.pace, self.now
+
+    def budget(self) -> float:
+        """Counter calls that may be made now."""
+        most = 2 + self.pace * TICK * 4
+        return min(most, self.calls_left + (self.now - self.calls_at) * self.pace)
+
+    def may_call(self) -> bool:
+        return self.settings.has_counter and self.budget() >= 1.0
+
+    def spare(self) -> bool:
+        """Whether there are calls enough for those that only refine a decision."""
+        return self.budget() > 1 + self.pace * TICK * 2
+
+    def calm(self, lease: Lease, units: float) -> bool:
+        """While calls are short, who is within its local share leaves them to others; it is added with
+        the next lease.  May hurt a customer that is busy at its other gateways."""
+        return not self.spare() and self.fits(lease, units)
+
+    def share(self, lease: Lease) -> float:
+        """The part of a quota to use unasked: 1/width to all, by the critical ratio of `over_cost` against
+        the worth lost and by the denials of a known customer; 1/width under a ceiling, as shares add up."""
+        plan = lease.plan
+        ratio = 1.0 if plan.ceiling_rate else plan.over_cost / (1 + plan.over_cost)
+        if not plan.ceiling_rate and self.now - lease.checked < FORGET:
+            ratio *= 1 - lease.odds
+        return 1 / (1 + (lease.width - 1) * ratio)
+
+    def refill(self, lease: Lease) -> float:
+        # A cap on attempts out lets through as many a second as it holds in a latency.
+        rate = lease.base / self.latency if lease.slots else lease.plan.rate
+        burst, share = lease.base if lease.slots else lease.plan.burst, self.share(lease)
+        level = min(max(1.0, share * burst), lease.bucket + (self.now - lease.bucket_at) * share * rate)
+        lease.bucket, lease.bucket_at = level, self.now
+        return level
+
+    def fits(self, lease: Lease, units: float) -> bool:
+        """Within the local share; while the fleet is strained and the counter well, only it grants."""
+        strained = self.failing < 0.5 and self.strain() > UNASKED
+        return not strained and self.refill(lease) + EPS >= units
+
+    def admit_alone(self, lease: Lease, job: Job, units: float) -> None:
+        """Let a request in by the local share; what it takes is added when the counter is back."""
+        if self.fits(lease, units):
+            lease.credits += units
+            lease.owed += units
+            self.spend(lease, job, units)
+        else:
+            self.refuse(job, self.settings.limits.max_retry_after / 2)
+
+    def release(self, job: Job, unsent: bool) -> None:
+        """Slots go back; rate credit only if the request was never sent on."""
+        for lease in job.held:
+            self.roll(lease)
+            lease.in_use -= 1
+            if not lease.slots:
+                lease.credits += job.req.units if unsent else 0.0
+            elif not self.may_call() or lease.owed > 0:
+                lease.owed -= 1
+            else:
+                self.give_back(lease, 1.0)
+
+    # --- backends --------------------------------------------------------------------------------
+
+    def on_members(self, event: i.Members) -> None:
+        if event.listing in (i.Listing.CACHED, i.Listing.FULL):
+            for known in self.backends.values():
+                known.state = State.GONE  # unless the list names it
+        for entry in event.entries:
+            found = self.backends.get(entry.backend)
+            if found is None:
+                found = self.backends[entry.backend] = Backend(entry, answered=self.now)
+            if entry.started > found.entry.started or not found.cold_at:
+                found.latency, found.answered = self.latency, self.now
+                found.cold_level, found.cold_at = self.random.random(), self.now  # not all at once
+            found.entry, found.state = entry, entry.state
+        self.live = [b for b in self.backends.values() if b.state is State.READY]
+        self.out = sum(len(b.out) for b in self.live)
+        self.pump()
+
+    def allowed(self, job: Job) -> list[Backend]:
+        """Backends that the rules leave open to this job's next attempt."""
+        anchors = [*job.out.values(), *([job.ran] if job.ran else [])]
+        anchor = min(anchors, key=lambda a: a[1], default=None)
+        if anchor is None or job.cls.effect is Effect.SAFE:
+            return self.live
+        if job.cls.effect is Effect.UNSAFE or self.now > anchor[1] + job.cls.memory - MARGIN:
+            return []
+        return [b for b in self.live if self.group(job, b) == self.group(job, anchor[0])]
+
+    def group(self, job: Job, backend: Backend) -> int:
+        entry = backend.entry
+        return {Scope.CELL: entry.cell, Scope.ZONE: entry.zone, Scope.ALL: 0}[job.cls.scope]
+
+    def warmth(self, backend: Backend) -> float:
+        """The share of its capacity that a backend surely has by now."""
+        rules = self.settings.rules
+        age = self.now - backend.entry.started
+        if backend.entry.started <= 0 or rules.warm_up <= 0 or age >= rules.warm_up:
+            return 1.0
+        return rules.cold_share + (1 - rules.cold_share) * max(0.0, age) / rules.warm_up
+
+    def cold_room(self, backend: Backend, warmth: float) -> bool:
+        """My part of a cold backend's budget over every window: half at once, half as it flows in.  Where
+        that is below one request, the level each gateway starts from at random decides who sends first.
+        """
+        rules = self.settings.rules
+        rate = self.warm_sends * math.exp((self.warm_at - self.now) / RATE_SPAN) / RATE_SPAN
+        budget = COLD_SAFETY * rules.fall_multiple * warmth * rate * rules.fall_time / max(1, len(self.live))
+        budget = max(budget, LEAST_LIMIT / self.peers)  # some may warm by serving only
+        flow = budget / 2 / max(EPS, rules.fall_time)
+        level = min(max(1.0, budget / 2), backend.cold_level + (self.now - backend.cold_at) * flow)
+        backend.cold_level, backend.cold_at = level, self.now
+        return level >= 1.0
+
+    def expected(self, backend: Backend) -> float:
+        """A silent backend is at least as slow as it has been silent; a bad figure fades."""
+        oldest = next(iter(backend.out.values()), self.now)
+        fade = math.exp((backend.seen - self.now) / RATE_SPAN)
+        latency = min(backend.latency, self.latency + max(0.0, backend.latency - self.latency) * fade)
+        return max(latency, self.now - max(oldest, backend.answered)) / self.warmth(backend)
+
+    def note(self, backend: Backend, report: tuple[float, ...]) -> None:
+        """Keep a load report.  One that is missing where others come means busy, not idle."""
+        values = dict(zip(self.settings.report_columns, report, strict=False))
+        load = values.get("inflight", values.get("queue", 0.0) + values.get("util", 0.0))
+        if values:
+            self.load += NEWEST * (load - self.load)
+        else:
+            load = self.load + 1
+        backend.load, backend.load_at = load, self.now
+
+    def burden(self, backend: Backend) -> float:
+        """What a backend holds, by its report; the fleet's mean where nothing new is known."""
+        return 1 + (backend.load if self.now - backend.load_at < FRESH else self.load)
+
+    def strain(self) -> float:
+        """The latency that the reported load will bring, over what is aimed at."""
+        if "inflight" not in self.settings.report_columns:
+            return 0.0  # latency does not follow from a queue alone
+        return self.took / self.met * (1 + self.load) / (TARGET * self.aim)
+
+    def probe(self) -> None:
+        """Ask a backend at random for its load, at most once a request and as often as keeps a pool fresh."""
+        limits, how = self.settings.limits, self.settings.report_how
+        if limits.probes and how == "pull" and self.live and self.now >= self.probe_at:
+            self.probe_at = self.now + FRESH / POOL
+            self.actions.append(i.Probe(self.random.choice(self.live).entry.backend))
+
+    def has_room(self) -> bool:
+        """What hangs on silent backends must not take the room of those that answer."""
+        if self.random.random() > 2 - self.strain():
+            return False  # each gateway sheds its part by chance: what it sends alone says nothing
+        mean = self.room * len(self.live)
+        most = mean + SPREAD * math.sqrt(mean)
+        slow = self.now - SUSPECT * self.latency
+        return self.out - sum(at < slow for job in self.jobs.values() for _, at in job.out.values()) < most
+
+    def choose(self, job: Job) -> Backend | None:
+        """The best of a few: those that the rules leave, drawn at random from a large fleet."""
+        best, best_score = None, math.inf
+        fits = self.allowed(job)
+        if len(fits) > CANDIDATES:
+            fits = self.random.sample(fits, CANDIDATES)
+        for backend in fits:
+            expected = self.expected(backend)
+            most = max(1.0, 2 * self.room * min(1.0, 1.5 * self.latency / expected))
+            if len(backend.out) >= most or backend.entry.backend in job.tried[-2:]:
+                continue
+            warmth = self.warmth(backend)
+            if warmth < 1 and not self.cold_room(backend, warmth):
+                continue
+            ahead = len(backend.out) + 1 + NEWEST * self.burden(backend)
+            if self.now - backend.silent.get(job.req.cls, -math.inf) < 2 * RATE_SPAN:
+                ahead *= EJECT
+            score = expected * ahead * (1 + self.random.random() / 20)
+            if score < best_score:
+                best, best_score = backend, score
+        return best
+
+    # --- attempts and final answers --------------------------------------------------------------
+
+    def dispatch(self, job: Job) -> None:
+        """Send a job to the best backend, or queue it while none has room.  Credit under a ceiling
+        lapses with its window for a held request too, or held ones would pass the ceiling together.
+        """
+        if job.closed:
+            return
+        for lease in job.leases if job.plan.ceiling_rate and not job.attempts else ():
+            self.roll(lease)
+            if not lease.slots and lease.window != job.window:
+                lease.in_use -= 1
+                job.held.remove(lease)
+                return self.admit(job)
+        if self.has_room() and (backend := self.choose(job)):
+            self.send(job, backend)
+        elif not job.out:
+            self.queue.append(job)
+
+    def send(self, job: Job, backend: Backend) -> None:
+        backend.out[job.req.request, job.attempts] = self.now
+        self.out += 1
+        job.out[job.attempts] = backend, self.now
+        job.attempts += 1
+        job.tried.append(backend.entry.backend)
+        if self.warmth(backend) < 1:
+            backend.cold_level -= 1
+        else:
+            self.warm_sends *= math.exp((self.warm_at - self.now) / RATE_SPAN)
+            self.warm_sends, self.warm_at = self.warm_sends + 1, self.now
+        if job.attempts == 1:
+            self.resends = min(10.0, self.resends + RESEND_BUDGET)
+        self.actions.append(i.Send(job.req.request, backend.entry.backend, 0.0))
+
+    def on_finished(self, event: i.Finished) -> None:
+        backend = self.backends.get(event.backend)
+        if backend and (sent := backend.out.pop((event.request, event.attempt), None)) is not None:
+            self.out -= backend.state is State.READY
+            self.observe(backend, event, sent)
+        job = self.jobs.get(event.request)
+        if job:
+            gone = job.out.pop(event.attempt, None)
+            if gone and not event.outcome.never_ran and (job.ran is None or gone[1] < job.ran[1]):
+                job.ran = gone
+            if event.closed or event.outcome is Outcome.OK:
+                self.close(job)
+            if not job.out:
+                (self.close if job.closed else self.further)(job)
+        self.pump()
+
+    def observe(self, backend: Backend, event: i.Finished, sent: float) -> None:
+        """Additive increase, multiplicative decrease of what may be out at a mean backend: one for all."""
+        if event.outcome in (Outcome.CANCELLED, Outcome.MOOT):
+            return
+        took, backend.seen = self.now - sent, self.now
+        if event.report:
+            self.note(backend, event.report)
+        good, job = event.outcome is Outcome.OK, self.jobs.get(event.request)
+        if good and job:
+            backend.silent.pop(job.req.cls, None)
+            self.took += SMOOTH * (took - self.took)
+            self.met += SMOOTH * (self.burden(backend) - self.met)
+            backend.answered = self.now
+            self.latency += SMOOTH / 4 * (took - self.latency)
+        backend.latency += SMOOTH * ((took if good else max(took, 2 * self.latency)) - backend.latency)
+        if event.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
+            # It is down, whatever the list says: out of the way at once, tried again as this fades.
+            backend.latency = max(backend.latency, EJECT * self.latency)
+        late = not good or (job is not None and took > TARGET * job.cls.aim)
+        if backend.latency < SUSPECT * self.latency and event.outcome is not Outcome.CONNECT_FAILED:
+            self.missed += SMOOTH / 2 * (late - self.missed)  # one bad backend says nothing of the fleet
+        if self.missed < MISSED:
+            if not late and self.out + 2 >= self.room * len(self.live):
+                self.room += 1 / (self.room * max(1, len(self.live))) / self.peers
+        elif self.now - self.lowered > self.latency:
+            self.lowered = self.now
+            self.room = max(LEAST_LIMIT / self.peers, self.room * BACKOFF)
+
+    def further(self, job: Job) -> None:
+        """No attempt is out and none served: try again where its class allows, else end it."""
+        more = job.attempts < self.settings.limits.max_attempts and self.now < job.end - MARGIN
+        if not more or not self.allowed(job):
+            self.end(job)
+        elif self.missed > MISSED:
+            self.queue.append(job)  # the fleet is full: what was turned away waits for a tick
+        else:
+            self.dispatch(job)
+
+    def end(self, job: Job) -> None:
+        """The final answer: a refusal where that is true, for a failure promises nothing."""
+        effect, everywhere = job.cls.effect, job.cls.scope is Scope.ALL
+        harmless = effect is Effect.SAFE or (effect is Effect.KEYED and everywhere)
+        if not job.out and (job.ran is None or harmless):
+            self.refuse(job, 0.0)
+        else:
+            self.close(job)
+            self.actions.append(i.Fail(job.req.request))
+
+    def refuse(self, job: Job, retry_after: float) -> None:
+        self.close(job)
+        most = self.settings.limits.max_retry_after if self.settings.limits.retry_after else 0.0
+        self.actions.append(i.Refuse(job.req.request, min(max(0.0, retry_after), most)))
+
+    def close(self, job: Job | None) -> None:
+        """Late or repeated news changes nothing.  A slot is in use until the last attempt is over."""
+        if job and not job.out and job.req.request in self.jobs:
+            del self.jobs[job.req.request]
+            self.release(job, unsent=job.attempts == 0)
+        if job:
+            job.closed = True
+
+    def pump(self) -> None:
+        """Send queued jobs, most worth per work first, while backends have room."""
+        if not self.queue or not self.has_room():
+            return
+        waiting, self.queue = sorted(self.queue, key=lambda j: -j.cls.worth * j.plan.price), []
+        for job in waiting:
+            # After a few the rest would not fare better, and a long queue costs CPU.
+            self.queue.append(job) if len(self.queue) > 3 else self.dispatch(job)
+
+    # --- the tick --------------------------------------------------------------------------------
+
+    def set_timer(self) -> None:
+        """A timer only while something is held, out or to be given back: idle gateways cost nothing."""
+        if not self.jobs and not self.holding:
+            return
+        held = self.queue or any(not job.out for job in self.jobs.values())
+        due = self.now + TICK * (1 if held else WATCH_TICKS)
+        if not self.now + EPS < self.tick_at <= due:  # a host may round a timer down a little
+            self.tick_at = due
+            self.actions.append(i.SetTimer(due, 1))
+
+    def tick(self) -> None:
+        # Whatever holds a request (a lease, the queue), it ends before its client's time does, and
+        # before it is started if it cannot finish in its aim.
+        for job in [j for j in self.jobs.values() if not j.out]:
+            hopeless = not job.attempts and self.now + self.latency > job.arrived + job.cls.aim
+            if hopeless or self.now > job.end - MARGIN - TICK:
+                self.end(job)
+        self.queue = [job for job in self.queue if not job.closed]
+        self.pump()
+        self.rescue()
+        if self.now >= self.scan_at:
+            self.scan_at = self.now + WATCH_TICKS * TICK
+            self.scan()
+
+    def rescue(self) -> None:
+        """Second attempts for what sits on a backend that has stopped answering or is far too slow."""
+        limits = self.settings.limits
+        for job in [j for j in self.jobs.values() if not j.closed and len(j.out) == 1]:
+            ((attempt, (backend, sent)),) = job.out.items()
+            # Any class's answer hides that another gets none: silence is judged by backend and class.
+            if self.now - sent >= SUSPECT * self.latency:
+                backend.silent[job.req.cls] = self.now
+            useless = self.now + self.latency > job.arrived + job.cls.aim
+            if useless or job.attempts >= limits.max_attempts or self.now - sent < SUSPECT * self.latency:
+                continue
+            if self.resends >= 1 and self.has_room() and (target := self.choose(job)):
+                self.resends -= 1
+                if limits.second_copies:
+                    self.send(job, target)
+                elif limits.cancel:  # `further` sends again
+                    self.actions.append(i.Cancel(job.req.request, attempt))
+
+    def scan(self) -> None:
+        """Idle credit of customers near their limit goes back, and slots that nobody uses."""
+        for key, lease in list(self.holding.items()):
+            self.roll(lease)
+            if lease.waiting or not self.may_call():
+                continue
+            if lease.slots and lease.owed > 0:
+                owed, lease.owed = lease.owed, 0.0
+                self.count(lease, owed, gives=True)
+            idle = self.now - lease.touched > IDLE_SHARE * lease.length and not lease.slots
+            if idle and lease.total > lease.base / 2 and self.spare():  # else nobody is short of it
+                units, lease.credits = lease.credits, 0.0
+                self.give_back(lease, units)
+            if lease.credits <= EPS and not lease.in_use:
+                del self.holding[key]
+        for key in [k for k, v in self.leases.items() if self.now - v.touched > FORGET and not v.in_use]:
+            del self.leases[key]
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,475 @@
+"""Each lease property and each rule's guard, driven without the bench."""
+
+from __future__ import annotations
+
+import math
+import random
+import subprocess
+import sys
+from collections import deque
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from orchidhill import interface as i
+from orchidhill.gateway import FORGET, TICK, Gateway, Lease, mix
+
+from .helpers import START, Counter, done, entry, gateway, play, request, sends
+
+Step = tuple[float, int]
+
+
+def serve_all(made: Gateway, counter: Counter, now: float, rid: int, **kind: int) -> bool:
+    """One request, answered at once if it was sent; tells whether it was."""
+    sent = sends(play(made, counter, now, request(rid, **kind)))
+    for send in sent:
+        play(made, counter, now, done(rid, send, i.Outcome.OK, closed=True))
+    return bool(sent)
+
+
+def only_lease(made: Gateway) -> Lease:
+    (lease,) = made.leases.values()
+    return lease
+
+
+# --- the lease mechanism ---
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    st.lists(st.tuples(st.floats(0.0, 0.6), st.integers(0, 2)), min_size=20, max_size=120),
+    st.lists(st.floats(0.0, 2.0), min_size=3, max_size=3),
+)
+def test_the_store_never_goes_below_nothing(steps: list[Step], sizes: list[float]) -> None:
+    """For any arrivals, any batch sizes and three gateways, admissions fit rate and burst."""
+    counter = Counter()
+    gateways = [gateway(me=str(n)) for n in range(3)]
+    now, store, at = START, 8.0, START
+    for rid, (gap, who) in enumerate(steps):
+        now += gap
+        made = gateways[who]
+        for lease in made.leases.values():
+            lease.size = sizes[who]
+        if serve_all(made, counter, now, rid):
+            store = min(8.0, store + 4.0 * (now - at)) - 1.0
+            at = now
+            assert store >= -1e-3
+
+
+def test_a_whole_burst_is_usable_after_an_idle_window() -> None:
+    counter, made = Counter(), gateway()
+    assert sum(serve_all(made, counter, START + 9.0, rid) for rid in range(20)) >= 7
+
+
+def test_fractions_of_a_window_are_not_lost() -> None:
+    """A window of 1.5 units still lets in the whole rate: 1 unit a second for 60 s."""
+    changes = {"tariffs__0__quota_rate": "1.0", "tariffs__0__peak_units": "3.0"}
+    counter, made = Counter(), gateway(**changes)
+    admitted = sum(serve_all(made, counter, START + rid / 10, rid) for rid in range(600))
+    assert 57 <= admitted <= 64
+
+
+def test_leftovers_expire_at_the_edge() -> None:
+    counter, made = Counter(), gateway()
+    serve_all(made, counter, START, 1)
+    lease = only_lease(made)
+    lease.credits = 3.0
+    made.now = START + lease.length
+    made.roll(lease)
+    assert lease.credits == 0.0
+
+
+def test_shortfalls_await_the_lease_in_flight() -> None:
+    made = gateway()
+    first = made.handle(START, request(1))
+    second = made.handle(START, request(2))
+    assert len([a for a in first if isinstance(a, i.Count)]) == 1
+    assert not [a for a in second if isinstance(a, i.Count | i.Send)]
+    (call,) = (a for a in first if isinstance(a, i.Count))
+    answered = play(made, Counter(), START, i.Counted(call.name, i.Outcome.OK, call.amount, 0.001))
+    assert {s.request for s in sends(answered)} == {1, 2}
+
+
+def test_first_lease_is_the_share_of_the_window() -> None:
+    (call,) = (a for a in gateway().handle(START, request(1)) if isinstance(a, i.Count))
+    assert call.amount == round(8.0 / 3)
+
+
+def test_a_denied_lease_refuses_without_further_calls() -> None:
+    counter, made = Counter(), gateway()
+    for rid in range(30):
+        serve_all(made, counter, START, rid)
+    calls = counter.calls
+    found = play(made, counter, START + 0.001, request(99))
+    assert counter.calls == calls
+    (refusal,) = (a for a in found if isinstance(a, i.Refuse))
+    assert 0 < refusal.retry_after <= 1.0
+
+
+def test_a_denied_lease_stays_added_and_costs_one_call() -> None:
+    """A full window has no more to give, so nothing goes back and later windows are not touched."""
+    counter, made = Counter(), gateway()
+    admitted = sum(serve_all(made, counter, START, rid) for rid in range(30))
+    assert admitted == 8 and len(counter.totals) == 1
+    assert counter.calls <= admitted and sum(counter.totals.values()) > 8
+
+
+@pytest.mark.parametrize("width", [2, 20, 100])
+def test_one_customer_over_many_gateways_gets_about_its_quota(width: int) -> None:
+    """Four times the quota through any number of gateways: nearly all of the quota, little beyond."""
+    counter, gateways = Counter(), [gateway(me=str(n), peers_total=str(width)) for n in range(width)]
+    rnd, now, admitted = random.Random(3), START, 0
+    for rid in range(960):
+        now += rnd.expovariate(16.0)
+        admitted += serve_all(rnd.choice(gateways), counter, now, rid)
+    assert 0.85 * 4 * (now - START) <= admitted <= 1.15 * 4 * (now - START) + 8
+
+
+def test_an_idle_gateway_sets_no_timer() -> None:
+    counter, made = Counter(), gateway()
+    serve_all(made, counter, START, 1)
+    timers, now = 0, START
+    for _ in range(200):
+        now += 0.1
+        timers += len([a for a in made.handle(now, i.Fired(1)) if isinstance(a, i.SetTimer)])
+    assert timers <= 40 and not made.handle(now + 1, i.Left(1))
+
+
+def test_a_timer_rounded_down_by_the_host_is_set_again() -> None:
+    made = gateway()
+    (timer,) = (a for a in made.handle(START, request(1)) if isinstance(a, i.SetTimer))
+    assert [a for a in made.handle(timer.at - 1e-7, i.Fired(1)) if isinstance(a, i.SetTimer)]
+
+
+def test_a_backend_without_a_report_counts_as_busier_than_the_mean() -> None:
+    made = gateway(caps__may_probe="true", report__how="pull", report__columns="queue,util,inflight")
+    (probe,) = (a for a in made.handle(START, request(1)) if isinstance(a, i.Probe))
+    for backend in made.backends:
+        made.handle(START, i.Probed(backend, i.Outcome.OK, 0.01, (0.0, 0.5, 2.0)))
+    made.handle(START, i.Probed(probe.backend, i.Outcome.OK, 0.01, ()))
+    silent = made.burden(made.backends[probe.backend])
+    assert all(silent > made.burden(b) - 0.5 for b in made.live) and silent > 1 + made.load
+
+
+def test_reported_load_sheds_by_chance_before_latencies_tell() -> None:
+    made = gateway(caps__may_probe="true", report__how="pull", report__columns="inflight")
+    assert all(made.has_room() for _ in range(50))
+    for _ in range(30):
+        made.handle(START, i.Probed(1, i.Outcome.OK, 0.01, (40.0,)))
+    assert not any(made.has_room() for _ in range(50))
+
+
+def test_held_credit_under_a_ceiling_lapses_with_its_window() -> None:
+    counter, made = Counter(), gateway()
+    made.missed, made.room = 1.0, 0.0
+    made.backends.clear()
+    made.live.clear()
+    play(made, counter, START, request(1, plan=1))
+    calls, (lease,) = counter.calls, made.leases.values()
+    later, made.room = START + lease.length + 0.01, 4.0
+    found = play(made, counter, later, i.Members(i.Listing.FULL, 2, (entry(1),)))
+    assert counter.calls == calls + 1 and not [a for a in found if isinstance(a, i.Fail)]
+
+
+@pytest.mark.parametrize("start", [0.1, 2.0])
+def test_sizing_moves_towards_the_optimum(start: float) -> None:
+    made = gateway(tariffs__0__peak_units="80.0")
+    made.handle(START, request(1))
+    lease = only_lease(made)
+    lease.size, lease.odds = start, 1.0
+    optimum = math.log(math.sqrt(2 * 16.0 / 0.5))
+    before = abs(lease.size - optimum)
+    for _ in range(200):
+        lease.served, lease.odds = 16.0, 1.0
+        made.learn(lease)
+    assert abs(lease.size - optimum) < min(before, 0.1)
+
+
+def test_idle_records_age_out() -> None:
+    counter, made = Counter(), gateway()
+    serve_all(made, counter, START, 1)
+    made.now = START + FORGET + 1
+    made.scan()
+    assert not made.leases
+
+
+def test_names_are_stable_and_distinct() -> None:
+    assert mix(1, 2, 3) == mix(1, 2, 3)
+    assert len({mix(c, w, k) for c in range(50) for w in range(50) for k in range(3)}) == 7500
+
+
+def test_slots_cap_attempts_and_go_back() -> None:
+    counter, made = Counter(), gateway()
+    sent = [sends(play(made, counter, START, request(rid, plan=2))) for rid in range(3)]
+    assert [len(s) for s in sent] == [1, 1, 0]
+    play(made, counter, START + 0.1, done(0, sent[0][0], i.Outcome.OK, closed=True))
+    assert sum(counter.totals.values()) == pytest.approx(1.0)
+    assert sends(play(made, counter, START + 1.0, request(9, plan=2)))
+
+
+# --- trouble at the counter ---
+
+
+def test_a_silent_counter_leaves_the_local_share() -> None:
+    counter, made = Counter(), gateway()
+    counter.outcome = i.Outcome.TIMEOUT
+    admitted = sum(serve_all(made, counter, START + n / 10, n) for n in range(300))
+    assert 60 * 0.8 <= admitted <= 60 * 1.2  # 30 s of half the rate: width 3, over_cost 1
+
+
+def test_an_emptied_counter_gets_back_what_this_gateway_added() -> None:
+    counter, made = Counter(), gateway()
+    for rid in range(3):
+        serve_all(made, counter, START, rid)
+    before = sum(counter.totals.values())
+    counter.lose()
+    more = sum(serve_all(made, counter, START + 0.01, 10 + rid) for rid in range(20))
+    assert before + more <= 9.5
+
+
+@settings(derandomize=True, max_examples=40, deadline=None)
+@given(
+    st.lists(st.tuples(st.floats(0.0, 0.3), st.integers(0, 2)), min_size=60, max_size=200), st.integers(0, 99)
+)
+def test_the_ceiling_holds_while_the_counter_goes_and_comes_back_empty(steps: list[Step], lost: int) -> None:
+    counter = Counter()
+    gateways = [gateway(me=str(n)) for n in range(3)]
+    now, store, at = START, 16.0, START
+    for rid, (gap, who) in enumerate(steps):
+        if rid == lost:
+            counter.lose()
+        counter.outcome = i.Outcome.TIMEOUT if lost / 2 <= rid < lost else i.Outcome.OK
+        now += gap
+        if serve_all(gateways[who], counter, now, rid, plan=1):
+            store, at = min(16.0, store + 8.0 * (now - at)) - 1.0, now
+            assert store >= -1.6
+
+
+# --- the rules ---
+
+
+def hold(made: Gateway, rid: int, **kind: int) -> i.Send:
+    (sent,) = sends(play(made, Counter(), START, request(rid, customer=rid, **kind)))
+    return sent
+
+
+def test_every_held_request_ends_in_time() -> None:
+    made = gateway()
+    made.handle(START, request(1, left=0.3))  # its lease is never answered
+    ended: list[i.Action] = []
+    for n in range(1, 13):
+        ended += made.handle(START + n * TICK, i.Fired(1))
+    assert [a for a in ended if isinstance(a, i.Refuse)] == [i.Refuse(1, 0.0)]
+
+
+def test_the_time_out_at_the_deadline_is_answered_as_failed() -> None:
+    made = gateway()
+    sent = hold(made, 1, cls=2)
+    assert i.Fail(1) in made.handle(START + 4.0, done(1, sent, i.Outcome.TIMEOUT))
+
+
+@pytest.mark.parametrize("outcome", [i.Outcome.ERROR, i.Outcome.RESET, i.Outcome.TIMEOUT])
+def test_unsafe_requests_that_may_have_run_fail(outcome: i.Outcome) -> None:
+    made = gateway()
+    sent = hold(made, 1, cls=2)
+    found = made.handle(START + 0.2, done(1, sent, outcome))
+    assert i.Fail(1) in found and not sends(found)
+
+
+@pytest.mark.parametrize("outcome", [i.Outcome.FULL, i.Outcome.CONNECT_FAILED])
+def test_unsafe_requests_that_never_ran_are_sent_elsewhere(outcome: i.Outcome) -> None:
+    made = gateway()
+    sent = hold(made, 1, cls=2)
+    (again,) = sends(made.handle(START + 0.2, done(1, sent, outcome)))
+    assert again.backend != sent.backend
+
+
+def test_keyed_requests_stay_in_their_cell_and_in_its_memory() -> None:
+    made = gateway()
+    sent = hold(made, 1, cls=1)
+    (again,) = sends(made.handle(START + 0.2, done(1, sent, i.Outcome.ERROR)))
+    assert again.backend % 2 == sent.backend % 2 and again.backend != sent.backend
+    found = made.handle(START + 2.1, done(1, again, i.Outcome.ERROR, attempt=1))
+    assert i.Fail(1) in found and not sends(found)
+
+
+def test_no_second_copy_where_none_is_allowed() -> None:
+    made = gateway(caps__second_copies="false")
+    hold(made, 1)
+    found: list[i.Action] = []
+    for n in range(1, 80):
+        found += made.handle(START + n * TICK, i.Fired(1))
+    assert not sends(found) and i.Cancel(1, 0) in found
+
+
+@pytest.mark.parametrize("state", [i.State.DRAINING, i.State.GONE])
+def test_drains_are_kept_at_once(state: i.State) -> None:
+    made = gateway([entry(1), entry(2)])
+    made.handle(START, i.Members(i.Listing.DELTA, 2, (entry(1, state=state),)))
+    assert {hold(made, rid).backend for rid in range(4)} == {2}
+
+
+def test_backends_missing_from_a_full_list_are_gone() -> None:
+    made = gateway([entry(1), entry(2)])
+    made.handle(START, i.Members(i.Listing.FULL, 2, (entry(2),)))
+    assert {hold(made, rid).backend for rid in range(4)} == {2}
+
+
+def test_a_cold_backend_gets_its_share_of_the_budget_only() -> None:
+    made = gateway([entry(1), entry(2), entry(3, started=START)], tariffs__0__quota_rate="0")
+    cold, out = 0, deque[tuple[int, i.Send]]()
+    for rid in range(100):
+        now = START + 0.5 + rid / 50
+        for sent in sends(made.handle(now, request(rid))):
+            cold += sent.backend == 3
+            out.append((rid, sent))
+        if len(out) > 9:
+            first, sent = out.popleft()
+            made.handle(now, done(first, sent, i.Outcome.OK, closed=True))
+    assert 1 <= cold <= 0.3 * 100 / 2
+
+
+def test_late_and_unknown_events_do_no_harm() -> None:
+    made = gateway()
+    sent = hold(made, 1)
+    made.handle(START + 0.1, done(1, sent, i.Outcome.OK, closed=True))
+    for event in (
+        done(1, sent, i.Outcome.OK, closed=True), i.Left(1), i.Left(1), i.Left(77), i.Fired(12345),
+        i.Counted(99, i.Outcome.OK, 1.0, 0.1), i.UnderWay(1, 0, 1, 0.1), i.PeerSays(1, b"x"),
+        i.Probed(1, i.Outcome.OK, 0.1, ()), i.Finished(5, 0, 999, i.Outcome.OK, True, 0.1, 0, 0, ()),
+    ):  # fmt: skip
+        assert not [a for a in made.handle(START + 0.2, event) if not isinstance(a, i.SetTimer)]
+
+
+# --- trouble at backends ---
+
+
+def test_a_silent_backend_is_avoided_and_its_requests_are_sent_again() -> None:
+    made, counter = gateway(tariffs__0__quota_rate="0"), Counter()
+    hung, later, rescued = 3, 0, 0
+    out: list[tuple[float, i.Send, int]] = []
+    for rid in range(200):
+        now = START + rid * 0.05
+        found = play(made, counter, now, request(rid)) + made.handle(now, i.Fired(1))
+        for sent in sends(found):
+            later += sent.backend == hung and rid > 60
+            rescued += sent.request != rid
+            out.append((now + 0.3, sent, int(sent.request != rid)))
+        for at, sent, attempt in [o for o in out if o[0] <= now and o[1].backend != hung]:
+            out.remove((at, sent, attempt))
+            made.handle(now, done(sent.request, sent, i.Outcome.OK, attempt, closed=True))
+    assert rescued >= 1 and later <= 5
+
+
+def test_a_cut_off_backend_leaves_the_room_of_the_others() -> None:
+    made = gateway([entry(1), entry(2)], tariffs__0__quota_rate="0")
+    sent = [s for rid in range(6) for s in sends(made.handle(START, request(rid)))]
+    for send in sent:  # all that hangs on backend 1 stays out
+        if send.backend == 2:
+            made.handle(START + 0.1, done(send.request, send, i.Outcome.OK, closed=True))
+    made.now = START + 1.5
+    hanging = len(made.backends[1].out)
+    assert hanging >= 1 and made.has_room()
+    assert {s.backend for s in sends(made.handle(START + 1.5, request(99)))} == {2}
+
+
+def test_a_failed_connection_ejects_and_the_figure_fades() -> None:
+    made = gateway([entry(1), entry(2)], tariffs__0__quota_rate="0")
+    (sent,) = sends(made.handle(START, request(1)))
+    made.handle(START + 0.25, done(1, sent, i.Outcome.CONNECT_FAILED))
+    backend = made.backends[sent.backend]
+    at_once = made.expected(backend)
+    made.now = START + 30
+    assert at_once > 5 * made.latency and made.expected(backend) < 1.1 * made.latency
+    assert made.room == pytest.approx(12 / 3)
+
+
+def test_calls_are_paced_down_while_the_counter_fails_and_up_again() -> None:
+    counter, made = Counter(), gateway()
+    counter.outcome = i.Outcome.TIMEOUT
+    for rid in range(200):
+        serve_all(made, counter, START + rid / 50, rid, customer=rid)
+    low = made.pace
+    assert low <= 20 and counter.calls < 150
+    counter.outcome = i.Outcome.OK
+    for rid in range(200):
+        serve_all(made, counter, START + 4 + rid / 50, 1000 + rid, customer=1000 + rid)
+    assert made.pace > 2 * low
+
+
+# --- same events, same actions ---
+
+SCRIPT = """
+from tests.helpers import *
+made, counter, log = gateway(), Counter(), []
+for rid in range(200):
+    found = play(made, counter, START + rid / 40, request(rid, cls=rid % 3, plan=rid % 3, customer=rid % 7))
+    for s in sends(found):
+        if rid % 5:
+            found += play(made, counter, START + rid / 40, done(rid, s, i.Outcome(rid % 2 * 5)))
+    log.append(repr(found + made.handle(START + rid / 40, i.Fired(1))))
+print("".join(log))
+"""
+
+
+def test_identical_events_give_identical_actions_under_any_hash_seed() -> None:
+    outputs = {
+        subprocess.run(
+            [sys.executable, "-c", SCRIPT],
+            env={"PYTHONHASHSEED": seed, "PYTHONPATH": "."},
+            capture_output=True,
+            check=True,
+        ).stdout
+        for seed in ("0", "1", "777")
+    }
+    assert len(outputs) == 1 and len(outputs.pop()) > 1000
+
+
+def test_instances_share_nothing() -> None:
+    alone = gateway((), 4)
+    one, other = gateway((), 4), gateway((), 5)
+    for rid in range(50):
+        other.handle(START, request(rid))
+        assert one.handle(START, request(rid)) == alone.handle(START, request(rid))
+
+
+def test_under_strain_only_the_counter_lets_in_unless_it_is_away() -> None:
+    """Hundreds of gateways must not each let a first request pass while the fleet is full."""
+    made = gateway(caps__may_probe="true", report__how="pull", report__columns="inflight", peers_total="300")
+    for _ in range(30):
+        made.handle(START, i.Probed(1, i.Outcome.OK, 0.01, (40.0,)))
+    made.handle(START, request(1))
+    assert not made.fits(only_lease(made), 1.0)
+    made.failing = 1.0
+    assert made.fits(only_lease(made), 1.0)
+
+
+def test_a_cap_is_shared_by_what_it_holds_in_a_latency() -> None:
+    counter, made = Counter(), gateway(peers_total="100")
+    counter.outcome = i.Outcome.TIMEOUT
+    asked = i.Request(0, 0, 2, 5, 4.0, 1.0, 100, 0, False, False)
+    admitted = 0
+    for rid in range(300):
+        asked.request = rid
+        sent = sends(play(made, counter, START + rid / 30, asked))
+        admitted += len(sent)
+        asked = i.Request(0, 0, 2, 5, 4.0, 1.0, 100, 0, False, False)
+        for send in sent:
+            play(made, counter, START + rid / 30 + 0.01, done(rid, send, i.Outcome.OK, closed=True))
+    assert 1 <= admitted <= 30
+
+
+def test_a_backend_silent_for_one_class_is_the_last_choice_for_that_class_only() -> None:
+    """It still answers the other classes, so its last answer says nothing of this one."""
+    made = gateway([entry(1), entry(2)], tariffs__0__quota_rate="0")
+    (sent,) = sends(made.handle(START, request(1)))
+    silent = made.backends[sent.backend]
+    made.handle(START + 1.0, i.Fired(1))
+    silent.answered = silent.seen = START + 1.0
+    made.now = START + 1.0
+    assert 0 in silent.silent and 1 not in silent.silent
+    (again,) = sends(made.handle(START + 1.5, request(2)))
+    assert again.backend != sent.backend
+    made.handle(START + 1.6, done(1, sent, i.Outcome.OK, closed=True))
+    assert not silent.silent
--- /dev/null
+++ b/tests/test_wire.py
@@ -0,0 +1,172 @@
+"""The codec: the wire's published examples, round trips, and what bad input does."""
+
+from __future__ import annotations
+
+import io
+import struct
+import subprocess
+import sys
+
+import pytest
+
+from orchidhill import benchlink, wire
+from orchidhill import interface as i
+
+from .helpers import text
+
+CLOCK = struct.unpack("<d", bytes.fromhex("508d976e12d32040"))[0]
+
+
+def batch(hexed: str) -> wire.Batch:
+    data = bytes.fromhex(hexed)
+    return wire.decode_batch(data[: wire.HEADER.size], data[wire.HEADER.size :])
+
+
+def one(record: str) -> i.Event | wire.Configure | wire.Crash:
+    body = bytes.fromhex("0c03000000" + record)
+    head = wire.HEADER.pack(2, len(body) + 12, 1.0, 1)
+    (found,) = wire.decode_batch(head, body).records
+    assert found[0] == 3
+    return found[1]
+
+
+def test_empty_batch_and_reply() -> None:
+    got = batch("000000000c000000508d976e12d3204001000000")
+    assert (got.now, got.number, got.records) == (CLOCK, 1, [])
+    assert wire.encode_reply(1, []).hex() == "080000000000000001000000"
+
+
+def test_published_batch_of_two_instances() -> None:
+    got = batch(
+        "0500000054000000508d976e12d320400c000000" "0c03000000"
+        "03c4913a5db2930800000000000000640ad2557c3bf091b81e85eb51b8ce3f00000040000040400000803f01"
+        "074d000000000000000c0500000006192b6f0ea8d80100"
+    )  # fmt: skip
+    (at3, demand), (_, fired), (at5, left) = got.records
+    assert (at3, at5, fired) == (3, 5, i.Fired(77))
+    assert isinstance(demand, i.Request)
+    assert (demand.request, demand.units, demand.width, demand.first) == (0x893B25D3A91C4, 2.0, 3, 1)
+    assert demand.left == 0.24 and not demand.is_retry
+    assert left == i.Left(0x1D8A80E6F2B19)
+
+
+def test_published_reply() -> None:
+    sent: list[i.Action | wire.Fault] = [
+        i.Send(0x893B25D3A91C4, 0x03124A07, 0.08),
+        i.SetTimer(struct.unpack("<d", bytes.fromhex("508d976e12d32140"))[0], 77),
+        i.Log("two servers unknown"),
+    ]
+    assert wire.encode_reply(12, [(3, sent), (4, [])]).hex() == (
+        "49000000040000000c0000000e0300000001c4913a5db2930800074a12037b14ae47e17ab43f"
+        "05508d976e12d321404d000000000000000913007477"
+        "6f207365727665727320756e6b6e6f776e"
+    )
+
+
+@pytest.mark.parametrize(
+    ("record", "event"),
+    [
+        (
+            "04c4913a5db29308000000074a12038b6ce7fba9f1823f",
+            i.UnderWay(0x893B25D3A91C4, 0, 0x03124A07, 0.00925),
+        ),
+        ("06192b6f0ea8d80100", i.Left(0x1D8A80E6F2B19)),
+        ("074d00000000000000", i.Fired(77)),
+        ("09020004006869 2037", i.PeerSays(2, b"hi 7")),
+        ("0a", wire.Crash()),
+    ],
+)
+def test_published_records(record: str, event: object) -> None:
+    assert one(record) == event
+
+
+def test_published_finished_checked_sum_and_view() -> None:
+    finished = one("05c4913a5db293080003 0001074a1203008b6ce7fba9f1923f5600000000")
+    assert isinstance(finished, i.Finished)
+    assert (finished.charged, finished.closed, finished.outcome) == (3, True, i.Outcome.OK)
+    assert (finished.metered, finished.attempt, finished.report) == (0x56, 0, ())
+    checked = one("08f211902c00c7bab88d06f0563f030000404052b81e3f0000e040")
+    assert isinstance(checked, i.Probed)
+    assert checked.report == pytest.approx((3.0, 0.62, 7.0))
+    counted = one("0b0090f68900000000000000184222fdf675e09c613f")
+    assert isinstance(counted, i.Counted) and (counted.name, counted.total) == (0x89F690, 38.0)
+    view = one(
+        "0201290000000000000002000000" "000000000000000000000100000000 00803f074a1203"
+        "00006666666666661840010000000000c03ff211902c"
+    )  # fmt: skip
+    assert isinstance(view, i.Members) and view.listing is i.Listing.CACHED and view.version == 41
+    assert view.entries[0] == i.Entry(0x03124A07, 0, 0.0, i.State.READY, 0, 0, 1.0)
+    assert (view.entries[1].started, view.entries[1].weight) == (6.1, 1.5)
+
+
+@pytest.mark.parametrize(
+    ("action", "hexed"),
+    [
+        (i.Cancel(0x893B25D3A91C4, 0), "04c4913a5db29308000000"),
+        (i.Refuse(0x1D8A80E6F2B19, 0.25), "02192b6f0ea8d80100000000000000d03f"),
+        (i.Fail(5), "030500000000000000"),
+        (i.Probe(0x2C9011F2), "06f211902c"),
+        (i.CloseIdle(0x2C9011F2), "07f211902c"),
+        (i.Tell(None, b"hi 7"), "08ffffffff040068692037"),
+        (
+            i.Count(0x89F690, 2.5, 4.0),
+            "0d90f6890000000000000000000000044000008040"[:18] + "00000000000010400000 2040",
+        ),
+        (i.Watch(True), "0b01"),
+        (i.Pull(), "0c"),
+        (wire.Fault("index out of range"), "0a1200696e646578206f7574206f662072616e6765"),
+    ],
+)
+def test_actions(action: i.Action | wire.Fault, hexed: str) -> None:
+    assert wire.encode_action(action) == bytes.fromhex(hexed)
+
+
+@pytest.mark.parametrize(
+    "hexed",
+    [
+        "010000000d000000508d976e12d32040010000000a",  # a record before any AT
+        "0200000012000000508d976e12d32040010000000c0300000063",  # an unknown code
+        "0200000014000000508d976e12d32040010000000c03000000070101",  # truncated
+        "010000000c000000508d976e12d3204001000000",  # fewer records than told
+    ],
+)
+def test_impossible_frames_end_the_adapter_with_one_line(hexed: str) -> None:
+    run = subprocess.run(
+        [sys.executable, "-m", "orchidhill.benchlink"],
+        input=bytes.fromhex(hexed),
+        capture_output=True,
+        check=False,
+    )
+    assert run.returncode == 1 and run.stdout == b""
+    assert run.stderr.startswith(b"benchlink: ") and run.stderr.count(b"\n") == 1
+
+
+def test_end_of_input_is_clean_and_inside_a_frame_is_not() -> None:
+    assert benchlink.read_batch(io.BytesIO(b"")) is None
+    with pytest.raises(wire.WireError, match="header"):
+        benchlink.read_batch(io.BytesIO(b"\0" * 7))
+
+
+@pytest.mark.parametrize(
+    ("changes", "key"),
+    [
+        ({"me": "x"}, "me"),
+        ({"caps__second_copies": "perhaps"}, "caps.second_copies"),
+        ({"classes__1__effect": "odd"}, "classes.1.effect"),
+        ({"tariffs__0__quota_rate": "nan"}, "tariffs.0.quota_rate"),
+    ],
+)
+def test_malformed_settings_name_the_key(changes: dict[str, str], key: str) -> None:
+    with pytest.raises(wire.SettingsError, match=key):
+        wire.parse_settings(text(**changes))
+
+
+def test_missing_settings_name_the_key_and_unknown_ones_are_skipped() -> None:
+    with pytest.raises(wire.SettingsError, match=r"rules\.fall_s"):
+        wire.parse_settings(text().replace("rules.fall_s", "rules.other"))
+    assert wire.parse_settings(text() + "\nnew.key=7\nnonsense").plans[2].parallel == 2
+
+
+def test_a_failing_module_is_reported_as_fault() -> None:
+    reply = benchlink.answer({}, wire.Batch(1.0, 9, [(3, wire.Configure(1, "me=0"))]))
+    assert b"SettingsError: missing setting" in reply and reply[17] == 10
