Put the decisions on sockets: the front door ivymux

The logs named the cause: uvloop's transports are not subclasses of asyncio.Transport, so the assertions in each connection_made (server.py, upstream.py, counter.py, discovery.py) failed. Nothing else was in the logs. They are casts now.

--- /dev/null
+++ b/ivymux/__init__.py
@@ -0,0 +1,1 @@
+"""ivymux: an admission gateway and load balancer on real sockets around orchidhill's decisions."""
--- /dev/null
+++ b/ivymux/counter.py
@@ -0,0 +1,234 @@
+"""The counter: TALLY calls on a few pipelined RESP2 connections."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from typing import Any, cast
+
+import hiredis
+
+from ivymux.config import Address
+from orchidhill.interface import Count, Counted, Outcome
+
+LINES = 4  # connections; the counter holds 32 of a front door
+MOST_PENDING = 1000  # calls on one connection that wait for their answers
+PING_AFTER = 2.0  # seconds without a call after which a PING keeps the connection from standing idle
+DEAD_AFTER = 2.0  # seconds with calls out and no byte back: the machine behind it has vanished
+RETRY_FIRST, RETRY_MOST = 0.05, 1.0  # seconds between attempts to connect
+CONNECT_TIMEOUT = 1.0
+
+log = logging.getLogger(__name__)
+
+
+class Call:
+    __slots__ = ("began", "count", "settled")
+
+    def __init__(self, count: Count | None, began: float) -> None:
+        self.count = count  # None for a PING
+        self.began = began
+        self.settled = count is None  # the module has had its answer
+
+
+class Line(asyncio.Protocol):
+    """One connection, with the calls written to it in the order in which their answers come."""
+
+    def __init__(self, owner: Counter) -> None:
+        self.owner = owner
+        self.transport: asyncio.Transport | None = None
+        self.calls: deque[Call] = deque()  # written
+        self.held: deque[Call] = deque()  # to be written once the connection is up
+        self.connecting = False
+        self.unsent = False  # whether written bytes still wait in this process
+        self.heard = 0.0
+        self.wait = RETRY_FIRST
+        self.reader: Any = None
+
+    # --- calls -------------------------------------------------------------------------------------
+
+    def call(self, count: Count, now: float) -> None:
+        call = Call(count, now)
+        if len(self.calls) + len(self.held) >= MOST_PENDING:
+            self.owner.settle(call, Outcome.FULL)
+        elif self.transport is not None:
+            self.write(call)
+        elif self.connecting:
+            self.held.append(call)
+        else:  # refused a moment ago; the next attempt is due shortly
+            self.owner.settle(call, Outcome.CONNECT_FAILED)
+            return
+        if not call.settled:
+            self.owner.expiring.append((call, self))
+
+    def write(self, call: Call) -> None:
+        assert self.transport is not None
+        if not self.calls:
+            self.heard = time.monotonic()
+        self.calls.append(call)
+        count = call.count
+        if count is None:
+            self.transport.write(b"*1\r\n$4\r\nPING\r\n")
+            return
+        life = max(1, min(60_000, round(count.expires * 1000)))
+        command = ("TALLY", str(count.name), f"{count.amount:.6f}", str(life))
+        self.transport.write(hiredis.pack_command(command))  # type: ignore[arg-type]  # any length is taken
+
+    def expire(self, call: Call) -> None:
+        if call in self.held:
+            self.held.remove(call)  # never written, so it can never be added
+            self.owner.settle(call, Outcome.CONNECT_FAILED)
+        else:
+            # It keeps its place in `calls`: its late answer must not be taken for the next call's.
+            self.owner.settle(call, Outcome.TIMEOUT)
+
+    # --- connection --------------------------------------------------------------------------------
+
+    def connect(self) -> None:
+        if not self.connecting and self.transport is None and not self.owner.closed:
+            self.connecting = True
+            task = self.owner.loop.create_task(self.try_connect())
+            self.owner.tasks.add(task)
+            task.add_done_callback(self.owner.tasks.discard)
+
+    async def try_connect(self) -> None:
+        address = self.owner.address
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT):
+                await self.owner.loop.create_connection(lambda: self, address.host, address.port)
+        except (OSError, TimeoutError):
+            self.connecting = False
+            self.fail_held()
+            self.owner.loop.call_later(self.wait, self.connect)
+            self.wait = min(RETRY_MOST, 2 * self.wait)
+        finally:
+            self.owner.tried()
+
+    def fail_held(self) -> None:
+        held, self.held = self.held, deque()
+        for call in held:
+            self.owner.settle(call, Outcome.CONNECT_FAILED)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)  # uvloop's are not its subclasses
+        transport.set_write_buffer_limits(high=0)
+        self.transport, self.connecting, self.unsent = transport, False, False
+        self.reader = hiredis.Reader()
+        self.heard = time.monotonic()
+        held, self.held = self.held, deque()
+        for call in held:
+            self.write(call)
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.transport = None
+        calls, self.calls = self.calls, deque()
+        for call in calls:
+            # Which of several calls the unsent bytes belong to is not known; only one alone is certain.
+            alone = self.unsent and len(calls) == 1
+            self.owner.settle(call, Outcome.CONNECT_FAILED if alone else Outcome.TIMEOUT)
+        self.connect()
+
+    def data_received(self, data: bytes) -> None:
+        self.heard, self.wait = time.monotonic(), RETRY_FIRST
+        try:
+            self.reader.feed(data)
+            while (reply := self.reader.gets()) is not False:
+                if not self.calls:
+                    raise hiredis.ProtocolError("an answer that no call waits for")
+                self.answer(self.calls.popleft(), reply)
+        except hiredis.ProtocolError as error:  # framing is lost: nothing behind it can be matched
+            log.warning("counter: %s", error)
+            if self.transport is not None:
+                self.transport.abort()
+
+    def answer(self, call: Call, reply: Any) -> None:
+        if call.settled:
+            return
+        if isinstance(reply, hiredis.ReplyError):
+            if not str(reply).startswith("BUSY"):
+                log.warning("counter: %s", reply)
+            self.owner.settle(call, Outcome.FULL)  # nothing was added
+            return
+        try:
+            total = float(reply)
+        except (TypeError, ValueError):
+            log.warning("counter: not a total: %.40r", reply)
+            self.owner.settle(call, Outcome.TIMEOUT)  # it may have been added
+            return
+        self.owner.settle(call, Outcome.OK, total)
+
+    def look(self, now: float) -> None:
+        if self.transport is None:
+            return
+        if self.calls and now - self.heard > DEAD_AFTER:
+            self.transport.abort()
+        elif not self.calls and now - self.heard > PING_AFTER:
+            self.write(Call(None, now))
+
+
+class Counter:
+    """Calls by name: those of one name share a connection, so their answers come in their order."""
+
+    def __init__(self, address: Address, timeout: float, done: Callable[[Counted], None]) -> None:
+        self.address, self.timeout, self.done = address, timeout, done
+        self.loop = asyncio.get_running_loop()
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.expiring: deque[tuple[Call, Line]] = deque()  # all wait equally long: oldest first
+        self.timer: asyncio.TimerHandle | None = None
+        self.closed = False
+        self.ready = self.loop.create_future()  # done once a first connection is up or was refused
+        self.lines = [Line(self) for _ in range(LINES)]
+        for line in self.lines:
+            line.connect()
+        self.watch = self.loop.call_later(PING_AFTER / 2, self.look)
+
+    def tried(self) -> None:
+        if not self.ready.done():
+            self.ready.set_result(None)
+
+    def add(self, count: Count) -> None:
+        self.lines[count.name % LINES].call(count, time.monotonic())
+        if self.timer is None and self.expiring:
+            self.timer = self.loop.call_later(self.timeout, self.expire)
+
+    def expire(self) -> None:
+        now = time.monotonic()
+        while self.expiring:
+            call, line = self.expiring[0]
+            if not call.settled:
+                if (left := call.began + self.timeout - now) > 0:
+                    self.timer = self.loop.call_later(left, self.expire)
+                    return
+                line.expire(call)
+            self.expiring.popleft()
+        self.timer = None
+
+    def settle(self, call: Call, outcome: Outcome, total: float = 0.0) -> None:
+        if not call.settled and call.count is not None:
+            call.settled = True
+            self.done(Counted(call.count.name, outcome, total, time.monotonic() - call.began))
+
+    def look(self) -> None:
+        now = time.monotonic()
+        for line in self.lines:
+            line.look(now)
+        self.watch = self.loop.call_later(PING_AFTER / 2, self.look)
+
+    def close(self) -> None:
+        self.closed = True
+        self.watch.cancel()
+        if self.timer:
+            self.timer.cancel()
+        for task in self.tasks:
+            task.cancel()
+        for line in self.lines:
+            if line.transport is not None:
+                line.transport.abort()
--- /dev/null
+++ b/ivymux/discovery.py
@@ -0,0 +1,175 @@
+"""Discovery: the watch on the list of backends, and their names as the module's ids."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import logging
+import time
+from collections.abc import Callable
+from hashlib import blake2b
+from typing import Any, cast
+
+import httptools
+
+from ivymux.config import Address, ConfigError, parse_address, plain
+from orchidhill.interface import Entry, Listing, Members, State
+
+MOST_LINE = 4 << 20  # bytes of one line; a longer one ends the watch
+SILENT_AFTER = 7.0  # seconds: an empty line comes every 2 s while the agent is well
+RETRY_FIRST, RETRY_MOST = 0.1, 1.0  # seconds between attempts to watch
+CONNECT_TIMEOUT = 1.0
+STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
+
+log = logging.getLogger(__name__)
+Heard = Callable[[Members, dict[int, Address]], None]
+
+
+def backend_id(name: str) -> int:
+    """The module's id of a backend, derived from the name alone so that every front door has the same."""
+    prefix, _, digits = name.partition("-")
+    if prefix == "s" and len(digits) == 8 and all(c in "0123456789abcdef" for c in digits):
+        return int(digits, 16)
+    return int.from_bytes(blake2b(name.encode(), digest_size=4).digest(), "big")
+
+
+class Names:
+    """Turns discovery's lines into the module's lists."""
+
+    def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
+        self.zones = {name: number for number, name in enumerate(zones)}
+        self.kinds = {name: number for number, name in enumerate(kinds)}
+        self.hosts: dict[int, str] = {}  # two names with one id would be taken for one backend
+
+    def entry(self, raw: Any) -> tuple[Entry, Address]:
+        state = STATES[raw["health"]]
+        name = str(raw["host"])
+        number = backend_id(name)
+        if self.hosts.setdefault(number, name) != name:
+            raise ValueError(f"{name} has the id of {self.hosts[number]}")
+        return Entry(
+            backend=number,
+            zone=self.zones[plain(raw["site"])],
+            started=float(raw["born_ms"]) / 1000,
+            state=state,
+            kind=self.kinds[plain(raw["class"])],
+            cell=int(raw["block"]),
+            weight=float(raw["share"]),
+        ), parse_address(raw["dial"])
+
+    def members(self, raw: Any, cached: bool = False) -> tuple[Members, dict[int, Address]]:
+        """One line as a list or a change; entries that make no sense are logged and left out."""
+        if not isinstance(raw, dict) or not isinstance(raw.get("hosts"), list):
+            raise ValueError("not a list of hosts")
+        listing = Listing.CACHED if cached else Listing.FULL if raw.get("whole") else Listing.DELTA
+        entries, addresses = [], {}
+        for item in raw["hosts"]:
+            try:
+                entry, address = self.entry(item)
+            except (ConfigError, KeyError, TypeError, ValueError) as error:
+                log.warning("discovery: entry skipped: %s: %s", type(error).__name__, error)
+                continue
+            entries.append(entry)
+            addresses[entry.backend] = address
+        return Members(listing, int(raw["seq"]), tuple(entries)), addresses
+
+
+class Watch(asyncio.Protocol):
+    """One watch: a chunked answer with one JSON object a line."""
+
+    def __init__(self, owner: Discovery) -> None:
+        self.owner = owner
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpResponseParser(self)
+        self.rest = b""
+        self.lost: asyncio.Future[None] = owner.loop.create_future()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)  # uvloop's are not its subclasses
+        self.transport = transport
+        target = f"/api/targets?watch=1&from={self.owner.seq}"
+        transport.write(f"GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
+
+    def data_received(self, data: bytes) -> None:
+        self.owner.heard_at = time.monotonic()
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as error:  # framing is lost
+            self.end(str(error))
+
+    def on_headers_complete(self) -> None:
+        if self.parser.get_status_code() != 200:
+            self.end(f"answered {self.parser.get_status_code()}")
+
+    def on_body(self, body: bytes) -> None:
+        *lines, self.rest = (self.rest + body).split(b"\n")
+        if len(self.rest) > MOST_LINE:
+            self.rest = b""
+            self.end("a line without an end")
+        for line in lines:
+            if line.strip():
+                self.owner.take(line)
+
+    def on_message_complete(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
+    def end(self, why: str) -> None:
+        log.warning("discovery: watch ended: %s", why)
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if not self.lost.done():
+            self.lost.set_result(None)
+
+
+class Discovery:
+    """Keeps a watch open and tells of every list and change."""
+
+    def __init__(self, address: Address, names: Names, seq: int, heard: Heard) -> None:
+        self.address, self.names, self.seq, self.heard = address, names, seq, heard
+        self.loop = asyncio.get_running_loop()
+        self.heard_at = 0.0
+        self.task = self.loop.create_task(self.run())
+
+    async def run(self) -> None:
+        wait = RETRY_FIRST
+        while True:
+            began = time.monotonic()
+            with contextlib.suppress(OSError, TimeoutError):
+                await self.watch()
+            # One that lasted was well: come back at once; one that did not must not be hammered.
+            wait = RETRY_FIRST if time.monotonic() - began > 2 * RETRY_MOST else min(RETRY_MOST, 2 * wait)
+            await asyncio.sleep(wait)
+
+    async def watch(self) -> None:
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            _, watch = await self.loop.create_connection(
+                lambda: Watch(self), self.address.host, self.address.port
+            )
+        self.heard_at = time.monotonic()
+        try:
+            # A vanished peer says nothing, not even that it is gone: silence ends the watch too.
+            while (left := self.heard_at + SILENT_AFTER - time.monotonic()) > 0:
+                await asyncio.wait([watch.lost], timeout=left)
+                if watch.lost.done():
+                    return
+        finally:
+            if watch.transport is not None:
+                watch.transport.abort()
+
+    def take(self, line: bytes) -> None:
+        try:
+            members, addresses = self.names.members(json.loads(line))
+        except (KeyError, TypeError, ValueError) as error:
+            log.warning("discovery: line skipped: %s: %s", type(error).__name__, error)
+            return
+        if members.listing is Listing.DELTA and members.version <= self.seq:
+            return  # a change that is known already
+        self.seq = members.version
+        self.heard(members, addresses)
+
+    def close(self) -> None:
+        self.task.cancel()
--- /dev/null
+++ b/ivymux/host.py
@@ -0,0 +1,262 @@
+"""Drives the one Gateway: events in, its actions carried out in order, the table of open requests."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ivymux.config import Address
+from ivymux.counter import Counter
+from ivymux.upstream import Attempt, Result, Upstream
+from orchidhill import interface as i
+from orchidhill.gateway import Gateway
+from orchidhill.interface import Outcome, State
+
+ATTEMPT_MARGIN = 0.030  # seconds before the client's deadline at which an attempt is given up
+GUARD_MARGIN = 0.015  # and at which the request is answered whatever the module does
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Answer:
+    """A final answer.  `status` 200 serves, 429 and 503 refuse, any other fails."""
+
+    status: int
+    body: bytes = b""
+    content_type: bytes = b""
+    retry_after: float = 0.0
+
+
+@dataclass(slots=True)
+class Open:
+    """A request that still needs an answer, or whose attempts are still out."""
+
+    number: int
+    payload: Callable[[float], bytes]  # what goes to a backend, given the time that is left
+    reply: Callable[[Answer], None]
+    end: float  # monotonic time at which its client gives up
+    guard: asyncio.TimerHandle | None = None
+    out: dict[int, Attempt] = field(default_factory=dict)
+    sent: int = 0
+    may_have_run: bool = False
+    settled: bool = False  # answered, or nobody waits any more
+
+
+class Host:
+    def __init__(self, gateway: Gateway, upstream: Upstream) -> None:
+        self.gateway, self.upstream = gateway, upstream
+        self.counter: Counter | None = None
+        self.limits = gateway.settings.limits
+        self.loop = asyncio.get_running_loop()
+        self.table: dict[int, Open] = {}
+        self.events: deque[i.Event] = deque()
+        self.busy = False
+        self.now = 0.0
+        self.number = 0
+        self.unknown: set[str] = set()  # kinds of action that were logged as not supported
+        self.waiting = 0  # requests without their answer
+
+    # --- events in ---------------------------------------------------------------------------------
+
+    def clock(self) -> float:
+        """Unix time, as lease windows must agree between front doors; it never goes back."""
+        self.now = max(self.now, time.time())
+        return self.now
+
+    def post(self, event: i.Event) -> None:
+        """Hand an event to the module.  Those that its actions bring about wait for their turn."""
+        self.events.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.events:
+                self.step(self.events.popleft())
+        finally:
+            self.busy = False
+
+    def step(self, event: i.Event) -> None:
+        gateway = self.gateway
+        failed = False
+        try:
+            actions = gateway.handle(self.clock(), event)
+        except Exception:
+            # One bad event must not lose the others: what was decided before the error still holds.
+            log.exception("the module failed on %s", type(event).__name__)
+            actions, failed = gateway.actions, True
+        for action in actions:
+            try:
+                self.carry_out(action)
+            except Exception:
+                log.exception("could not carry out %s", type(action).__name__)
+                if isinstance(action, i.Send | i.Refuse | i.Fail):
+                    self.give_up(action.request)
+        if failed and isinstance(event, i.Request | i.Finished):
+            self.give_up(event.request)
+
+    def give_up(self, number: int) -> None:
+        """A truthful final answer for a request that an error has left without one."""
+        request = self.table.get(number)
+        if request is not None and not request.settled and not request.out:
+            self.settle(request, Answer(502 if request.may_have_run else 503))
+            self.events.append(i.Left(number))
+            self.drop(request)
+
+    def request(
+        self,
+        make: Callable[[int], i.Request],
+        end: float,
+        payload: Callable[[float], bytes],
+        reply: Callable[[Answer], None],
+    ) -> Open:
+        self.number += 1
+        request = Open(self.number, payload, reply, end)
+        self.table[request.number] = request
+        self.waiting += 1
+        left = end - GUARD_MARGIN - time.monotonic()
+        request.guard = self.loop.call_later(max(0.0, left), self.overdue, request)
+        self.post(make(request.number))
+        return request
+
+    def left(self, request: Open) -> None:
+        """The client has gone away; attempts that are out run on."""
+        if not request.settled:
+            self.settle(request, None)
+            self.post(i.Left(request.number))
+            self.drop(request)
+
+    def overdue(self, request: Open) -> None:
+        """Guards the rule that no request is lost: its client's time is nearly up, and nobody answered."""
+        if request.settled:
+            return
+        for attempt in list(request.out.values()):
+            attempt.give_up(Outcome.TIMEOUT)
+        if not request.settled:  # what never ran may have been answered just now
+            self.settle(request, Answer(504))
+            self.post(i.Left(request.number))
+            self.drop(request)
+
+    def answer_all(self) -> None:
+        """The process is about to end: what is still held gets its final answer."""
+        for request in list(self.table.values()):
+            self.overdue(request)
+
+    def members(self, members: i.Members, addresses: dict[int, Address]) -> None:
+        if members.listing is not i.Listing.DELTA:
+            for backend in [b for b in self.upstream.pools if b not in addresses]:
+                self.upstream.place(backend, None)
+        for entry in members.entries:
+            gone = entry.state is State.GONE
+            self.upstream.place(entry.backend, None if gone else addresses[entry.backend])
+        self.post(members)
+
+    # --- actions out -------------------------------------------------------------------------------
+
+    def carry_out(self, action: i.Action) -> None:
+        match action:
+            case i.Send():
+                self.send(action)
+            case i.SetTimer():
+                self.set_timer(action.at, action.token)
+            case i.Count():
+                if self.counter is None:
+                    self.events.append(i.Counted(action.name, Outcome.CONNECT_FAILED, 0.0, 0.0))
+                else:
+                    self.counter.add(action)
+            case i.Refuse():
+                self.end(action.request, Answer(503, retry_after=action.retry_after))
+            case i.Fail():
+                self.end(action.request, Answer(502))
+            case i.Cancel():
+                request = self.table.get(action.request)
+                if request is not None and (attempt := request.out.get(action.attempt)) is not None:
+                    attempt.give_up(Outcome.CANCELLED)
+            case i.Probe():
+                backend = action.backend
+                self.upstream.probe(
+                    backend, lambda r: self.post(i.Probed(backend, r.outcome, r.spent, r.report))
+                )
+            case i.CloseIdle():
+                self.upstream.close_idle(action.backend)
+            case i.Log():
+                log.info("module: %s", action.text)
+            case _:  # discovery is always watched, and front doors cannot talk to each other
+                if type(action).__name__ not in self.unknown:
+                    self.unknown.add(type(action).__name__)
+                    log.warning("not supported here: %s", type(action).__name__)
+
+    def send(self, action: i.Send) -> None:
+        request = self.table.get(action.request)
+        number = request.sent if request is not None else 0
+        if request is not None:
+            request.sent += 1
+        left = request.end - ATTEMPT_MARGIN - time.monotonic() if request is not None else 0.0
+        if (
+            request is None
+            or request.settled
+            or left <= 0
+            or number >= self.limits.max_attempts
+            or (request.out and not self.limits.second_copies)
+        ):
+            closed = request is None or request.settled
+            self.events.append(
+                i.Finished(action.request, number, action.backend, Outcome.MOOT, closed, 0.0, 0, 0, ())
+            )
+            return
+        timeout = min(left, action.timeout) if action.timeout > 0 else left
+
+        def done(result: Result) -> None:
+            self.finished(request, number, action.backend, result)
+
+        attempt = self.upstream.start(action.backend, request.payload(timeout), timeout, done)
+        if not attempt.over:
+            request.out[number] = attempt
+
+    def finished(self, request: Open, number: int, backend: int, result: Result) -> None:
+        request.out.pop(number, None)
+        if not result.outcome.never_ran:
+            request.may_have_run = True
+        if result.outcome is Outcome.OK and not request.settled:
+            self.settle(request, Answer(200, result.body, result.content_type))
+        closed = request.settled
+        self.post(
+            i.Finished(
+                request.number, number, backend, result.outcome, closed, result.spent, 0, 0, result.report
+            )
+        )
+        self.drop(request)
+
+    def end(self, number: int, answer: Answer) -> None:
+        request = self.table.get(number)
+        if request is not None and not request.settled:
+            self.settle(request, answer)
+            self.drop(request)
+
+    def settle(self, request: Open, answer: Answer | None) -> None:
+        request.settled = True
+        self.waiting -= 1
+        if request.guard is not None:
+            request.guard.cancel()
+        if answer is not None:
+            request.reply(answer)
+
+    def drop(self, request: Open) -> None:
+        if request.settled and not request.out:
+            self.table.pop(request.number, None)
+
+    def set_timer(self, at: float, token: int) -> None:
+        # The loop counts whole milliseconds from a cached clock and may fire early by some: look again.
+        delay = math.ceil((at - self.clock()) * 1000) / 1000
+        self.loop.call_later(max(0.001, delay), self.fire, at, token)
+
+    def fire(self, at: float, token: int) -> None:
+        if self.clock() < at:
+            self.set_timer(at, token)
+        else:
+            self.post(i.Fired(token))
--- /dev/null
+++ b/ivymux/upstream.py
@@ -0,0 +1,349 @@
+"""Backends: pooled connections, attempts and how they end, load reports, probes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import cast
+
+import httptools
+
+from ivymux.config import Address
+from orchidhill.interface import Outcome
+
+MOST_BODY = 64 * 1024  # of an answer, by the protocol
+MOST_HEAD = 16 * 1024
+PER_BACKEND = 128  # connections to one backend
+IDLE_PART = 0.5  # of the backend's idle time, after which an idle connection is retired here
+SWEEP = 1.0  # seconds between looks for such connections
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Result:
+    """How an attempt or a probe ended."""
+
+    outcome: Outcome
+    spent: float
+    report: tuple[float, ...] = ()
+    body: bytes = b""
+    content_type: bytes = b""
+
+
+class Attempt:
+    """One request on its way to one backend; `done` hears of its end exactly once."""
+
+    __slots__ = ("began", "done", "link", "over", "payload", "timer", "verdict")
+
+    def __init__(self, payload: bytes, done: Callable[[Result], None]) -> None:
+        self.payload, self.done = payload, done
+        self.began = time.perf_counter()
+        self.link: Link | None = None  # once its first byte may have been written
+        self.timer: asyncio.TimerHandle | None = None
+        self.verdict: Outcome | None = None  # why it was given up here
+        self.over = False
+
+    def finish(self, result: Result) -> None:
+        if not self.over:
+            self.over = True
+            if self.timer is not None:
+                self.timer.cancel()
+            self.done(result)
+
+    def fail(self, outcome: Outcome) -> None:
+        self.finish(Result(outcome, time.perf_counter() - self.began))
+
+    def give_up(self, why: Outcome) -> None:
+        """Stop waiting.  What was written is out until its connection has ended, so that ends first and
+        `done` hears of it then; else a further attempt might be out beside this one.
+        """
+        if self.over or self.verdict is not None:
+            return
+        if self.link is None:
+            # Nothing was written: it never ran, whatever the reason for giving it up.
+            self.fail(Outcome.MOOT if why is Outcome.CANCELLED else Outcome.CONNECT_FAILED)
+        else:
+            self.verdict = why
+            self.link.abort()
+
+
+class Link(asyncio.Protocol):
+    """One connection to a backend; it carries one attempt at a time."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.transport: asyncio.Transport | None = None
+        self.attempt: Attempt | None = None
+        self.idle_since = 0.0
+        self.unsent = False  # whether part of the request still waits in this process
+        self.parser = httptools.HttpResponseParser(self)
+        self.clear()
+
+    def clear(self) -> None:
+        self.head = 0
+        self.body = b""
+        self.not_started = False
+        self.framed = False  # whether the answer's end can be told from its connection's end
+        self.load = b""
+        self.content_type = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)  # uvloop's are not its subclasses
+        transport.set_write_buffer_limits(high=0)  # hear at once of bytes that could not be written
+        self.transport = transport
+
+    def carry(self, attempt: Attempt) -> None:
+        assert self.transport is not None
+        self.attempt, attempt.link = attempt, self
+        self.transport.write(attempt.payload)
+        attempt.payload = b""
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+
+    def data_received(self, data: bytes) -> None:
+        if self.attempt is None:
+            self.abort()  # an answer that nobody asked for: framing is lost
+            return
+        self.head += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.abort()
+        except httptools.HttpParserError as error:
+            log.warning("backend %s: %s", self.pool.name, error)
+            self.abort()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        name = name.lower()
+        if name == b"server-load":
+            self.load = value
+        elif name == b"not-started":
+            self.not_started = value == b"1"
+        elif name == b"content-type":
+            self.content_type = value
+        elif name in (b"content-length", b"transfer-encoding"):
+            self.framed = True
+
+    def on_headers_complete(self) -> None:
+        if self.head > MOST_HEAD + MOST_BODY:
+            self.abort()
+
+    def on_body(self, body: bytes) -> None:
+        self.body = self.body + body if self.body else body
+        if len(self.body) > MOST_BODY:
+            log.warning("backend %s: an answer over %d bytes", self.pool.name, MOST_BODY)
+            self.body = b""
+            self.abort()
+
+    def on_message_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if status < 200:
+            self.clear()  # an interim answer; the final one follows
+            return
+        if self.transport is None or self.transport.is_closing() or self.attempt is None:
+            return
+        attempt, self.attempt = self.attempt, None
+        if status == 200:
+            outcome = Outcome.OK
+        elif status in (503, 504) and self.not_started:
+            outcome = Outcome.FULL
+        else:
+            outcome = Outcome.ERROR
+        result = Result(
+            outcome,
+            time.perf_counter() - attempt.began,
+            self.pool.owner.report(self.load),
+            self.body,
+            self.content_type,
+        )
+        keep = self.parser.should_keep_alive() and self.framed and not self.unsent
+        self.clear()
+        if keep:
+            self.pool.put(self)
+        else:
+            self.transport.close()
+        attempt.finish(result)
+
+    def abort(self) -> None:
+        if self.transport is not None:
+            self.transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.pool.forget(self)
+        if (attempt := self.attempt) is not None:
+            self.attempt = None
+            outcome = attempt.verdict or (Outcome.CONNECT_FAILED if self.unsent else Outcome.RESET)
+            if self.unsent and attempt.verdict is Outcome.CANCELLED:
+                outcome = Outcome.MOOT
+            # The descriptor is closed only after this call returns; a further attempt must come later.
+            self.pool.owner.loop.call_soon(attempt.fail, outcome)
+
+
+class Pool:
+    """The connections to one backend."""
+
+    def __init__(self, owner: Upstream, name: int, address: Address) -> None:
+        self.owner, self.name, self.address = owner, name, address
+        self.idle: deque[Link] = deque()  # the newest last; it is used first
+        self.links: set[Link] = set()
+        self.connecting = 0
+
+    def start(self, attempt: Attempt) -> None:
+        while self.idle:
+            link = self.idle.pop()
+            if link.transport is not None and not link.transport.is_closing():
+                link.carry(attempt)
+                return
+        if self.connecting + len(self.links) >= PER_BACKEND or not self.owner.make_room():
+            # Nothing was sent.  Not a failed connection: the backend is not to blame.
+            self.owner.loop.call_soon(attempt.fail, Outcome.FULL)
+            return
+        self.connecting += 1
+        self.owner.open += 1
+        task = self.owner.loop.create_task(self.connect(attempt))
+        self.owner.tasks.add(task)
+        task.add_done_callback(self.owner.tasks.discard)
+
+    async def connect(self, attempt: Attempt) -> None:
+        try:
+            async with asyncio.timeout(self.owner.connect_timeout):
+                _, link = await self.owner.loop.create_connection(
+                    lambda: Link(self), self.address.host, self.address.port
+                )
+        except (OSError, TimeoutError):
+            self.owner.open -= 1
+            attempt.fail(Outcome.CONNECT_FAILED)
+            return
+        finally:
+            self.connecting -= 1
+        self.links.add(link)
+        if link.transport is None or link.transport.is_closing():
+            self.forget(link)
+            attempt.fail(Outcome.CONNECT_FAILED)
+        elif attempt.over:  # given up meanwhile; the connection is paid for
+            self.put(link)
+        else:
+            link.carry(attempt)
+
+    def put(self, link: Link) -> None:
+        if self.owner.pools.get(self.name) is not self:
+            link.abort()  # the backend has moved or is gone
+            return
+        link.idle_since = time.monotonic()
+        self.idle.append(link)
+
+    def forget(self, link: Link) -> None:
+        if link in self.links:
+            self.links.remove(link)
+            self.owner.open -= 1
+        if link in self.idle:
+            self.idle.remove(link)
+
+    def close_idle(self) -> None:
+        idle, self.idle = self.idle, deque()
+        for link in idle:
+            link.abort()
+
+
+class Upstream:
+    """All backends that discovery has named."""
+
+    def __init__(
+        self, connect_timeout: float, conn_idle: float, columns: tuple[str, ...], most_open: int
+    ) -> None:
+        self.connect_timeout, self.columns, self.most_open = connect_timeout, columns, most_open
+        self.keep_idle = IDLE_PART * conn_idle
+        self.loop = asyncio.get_running_loop()
+        self.pools: dict[int, Pool] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.open = 0  # connections and attempts to connect
+        self.timer = self.loop.call_later(SWEEP, self.sweep)
+
+    def place(self, backend: int, address: Address | None) -> None:
+        """A backend's address, or None once it is gone; what is out on the old connections runs on."""
+        pool = self.pools.get(backend)
+        if pool is not None and address == pool.address:
+            return
+        if pool is not None:
+            del self.pools[backend]
+            pool.close_idle()
+        if address is not None:
+            self.pools[backend] = Pool(self, backend, address)
+
+    def start(self, backend: int, payload: bytes, timeout: float, done: Callable[[Result], None]) -> Attempt:
+        attempt = Attempt(payload, done)
+        pool = self.pools.get(backend)
+        if pool is None:
+            self.loop.call_soon(attempt.fail, Outcome.CONNECT_FAILED)
+        else:
+            attempt.timer = self.loop.call_later(timeout, attempt.give_up, Outcome.TIMEOUT)
+            pool.start(attempt)
+        return attempt
+
+    def probe(self, backend: int, done: Callable[[Result], None]) -> None:
+        """Health, with the load report as body where there are reports."""
+        path = b"/-/load" if self.columns else b"/-/healthy"
+
+        def heard(result: Result) -> None:
+            if result.outcome is Outcome.OK and not result.report:
+                result.report = self.report(result.body)
+            done(result)
+
+        self.start(
+            backend, b"GET " + path + b" HTTP/1.1\r\nHost: origin.svc\r\n\r\n", self.connect_timeout, heard
+        )
+
+    def report(self, text: bytes) -> tuple[float, ...]:
+        """A load report in the order of the settings' columns; one that lacks a column counts as none."""
+        if not text:
+            return ()
+        values: dict[str, float] = {}
+        for part in text.decode("latin-1").removeprefix("TEXT").split(","):
+            key, sep, value = part.partition("=")
+            if sep:
+                try:
+                    values[key.strip()] = float(value)
+                except ValueError:
+                    return ()
+        if any(not 0 <= values.get(c, -1.0) < float("inf") for c in self.columns):
+            return ()
+        return tuple(values[c] for c in self.columns)
+
+    def close_idle(self, backend: int) -> None:
+        if (pool := self.pools.get(backend)) is not None:
+            pool.close_idle()
+
+    def make_room(self) -> bool:
+        """Whether a connection may be opened; the one that has stood idle longest makes room for it."""
+        if self.open < self.most_open:
+            return True
+        idle = [pool for pool in self.pools.values() if pool.idle]
+        if not idle:
+            return False
+        min(idle, key=lambda pool: pool.idle[0].idle_since).idle.popleft().abort()
+        return True
+
+    def sweep(self) -> None:
+        """Retire idle connections well before the backend does: a request that crosses its close is lost."""
+        before = time.monotonic() - self.keep_idle
+        for pool in self.pools.values():
+            while pool.idle and pool.idle[0].idle_since < before:
+                pool.idle.popleft().abort()
+        self.timer = self.loop.call_later(SWEEP, self.sweep)
+
+    def close(self) -> None:
+        self.timer.cancel()
+        for task in self.tasks:
+            task.cancel()
+        for pool in self.pools.values():
+            for link in pool.links:
+                link.abort()
