--- a/ivymux/discovery.py
+++ b/ivymux/discovery.py
@@ -63,6 +63,8 @@
         if not isinstance(raw, dict) or not isinstance(raw.get("hosts"), list):
             raise ValueError("not a list of hosts")
         listing = Listing.CACHED if cached else Listing.FULL if raw.get("whole") else Listing.DELTA
+        if listing is not Listing.DELTA:
+            self.hosts = {}
         entries, addresses = [], {}
         for item in raw["hosts"]:
             try:
--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -150,10 +150,12 @@
     def members(self, members: i.Members, addresses: dict[int, Address]) -> None:
         if members.listing is not i.Listing.DELTA:
             for backend in [b for b in self.upstream.pools if b not in addresses]:
-                self.upstream.place(backend, None)
+                self.upstream.remove(backend)
         for entry in members.entries:
-            gone = entry.state is State.GONE
-            self.upstream.place(entry.backend, None if gone else addresses[entry.backend])
+            if entry.state is State.GONE:
+                self.upstream.remove(entry.backend)
+            else:
+                self.upstream.place(entry.backend, addresses[entry.backend], entry.started)
         self.post(members)
 
     # --- actions out -------------------------------------------------------------------------------
--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -24,6 +24,7 @@
 READ_TIMEOUT = 10.0  # seconds for a request to come whole
 IDLE_TIMEOUT = 75.0  # seconds that a connection may stand idle
 LINGER = 1.0  # seconds to read on after an answer that ends a broken connection
+SURPLUS = 64  # connections above the most that are still answered, with a refusal
 SWEEP = 2.0
 
 REASONS = {
@@ -207,6 +208,10 @@
         if path == b"/-/ready":
             exchange.reply(Answer(200 if server.ready() else 503))
             return
+        if len(server.clients) > server.most_clients:
+            exchange.keep_alive = False
+            exchange.reply(Answer(503, retry_after=1.0))
+            return
         headers = dict(self.headers)
         if len(headers) != len(self.headers):
             self.no_repeats()
@@ -332,10 +337,13 @@
         self.clients.add(client)
         if len(self.clients) <= self.most_clients:
             return
-        # Descriptors are bounded: the connection that has been idle longest gives way, else the new one.
+        # Descriptors are bounded: the connection that has been idle longest gives way.  With none idle the
+        # new one is answered with a refusal, as ending it at once could lose a request.
         idle = [c for c in self.clients if not c.pending and not c.arriving and c is not client]
-        victim = min(idle, key=lambda c: c.since, default=client)
-        if victim.transport is not None:
+        victim = min(idle, key=lambda c: c.since, default=None)
+        if victim is None and len(self.clients) > self.most_clients + SURPLUS:
+            victim = client
+        if victim is not None and victim.transport is not None:
             victim.transport.close()
 
     def sweep(self) -> None:
--- a/ivymux/upstream.py
+++ b/ivymux/upstream.py
@@ -191,8 +191,8 @@
 class Pool:
     """The connections to one backend."""
 
-    def __init__(self, owner: Upstream, name: int, address: Address) -> None:
-        self.owner, self.name, self.address = owner, name, address
+    def __init__(self, owner: Upstream, name: int, address: Address, started: float) -> None:
+        self.owner, self.name, self.address, self.started = owner, name, address, started
         self.idle: deque[Link] = deque()  # the newest last; it is used first
         self.links: set[Link] = set()
         self.connecting = 0
@@ -268,16 +268,18 @@
         self.open = 0  # connections and attempts to connect
         self.timer = self.loop.call_later(SWEEP, self.sweep)
 
-    def place(self, backend: int, address: Address | None) -> None:
-        """A backend's address, or None once it is gone; what is out on the old connections runs on."""
+    def place(self, backend: int, address: Address, started: float) -> None:
+        """Where a backend listens.  Once it has moved or started again its idle connections are stale: a
+        machine that vanished never closed them.  What is out on the others runs on.
+        """
         pool = self.pools.get(backend)
-        if pool is not None and address == pool.address:
-            return
-        if pool is not None:
-            del self.pools[backend]
+        if pool is None or (pool.address, pool.started) != (address, started):
+            self.remove(backend)
+            self.pools[backend] = Pool(self, backend, address, started)
+
+    def remove(self, backend: int) -> None:
+        if (pool := self.pools.pop(backend, None)) is not None:
             pool.close_idle()
-        if address is not None:
-            self.pools[backend] = Pool(self, backend, address)
 
     def start(self, backend: int, payload: bytes, timeout: float, done: Callable[[Result], None]) -> Attempt:
         attempt = Attempt(payload, done)
--- /dev/null
+++ b/tests/test_frontdoor.py
@@ -0,0 +1,600 @@
+"""The front door over loopback sockets, with fakes of everything around it."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import time
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import pytest
+
+from ivymux.__main__ import FrontDoor
+from ivymux.server import MOST_BODY, MOST_HEAD, MOST_PIPELINED
+from orchidhill import interface as i
+from orchidhill.gateway import mix
+from orchidhill.interface import Outcome
+
+from .sockets import Backend, Client, Message, Tally, config, host_line, http_answer, listening, run, until
+
+FIRST = 0x00000001
+
+
+class Script:
+    """Stands in for the module: `react` gives the actions for each event."""
+
+    def __init__(self, react: Callable[[Any], list[i.Action]]) -> None:
+        self.react = react
+        self.events: list[Any] = []
+        self.actions: list[i.Action] = []
+
+    def handle(self, now: float, event: i.Event) -> list[i.Action]:
+        self.events.append(event)
+        self.actions = []
+        for action in self.react(event):
+            self.actions.append(action)
+        return self.actions
+
+    def outcomes(self) -> list[Outcome]:
+        return [e.outcome for e in self.events if isinstance(e, i.Finished)]
+
+    def of(self, kind: type) -> list[Any]:
+        return [e for e in self.events if isinstance(e, kind)]
+
+
+@contextlib.asynccontextmanager
+async def front_door(
+    *dials: str, react: Callable[[Any], list[i.Action]] | None = None, counter: str = "", **changes: str
+) -> AsyncIterator[tuple[FrontDoor, Script]]:
+    known = [host_line(f"s-{n:08x}", dial) for n, dial in enumerate(dials, 1)]
+    door = FrontDoor(config(known, counter, **changes))
+    script = Script(react or (lambda event: []))
+    if react is not None:
+        door.host.gateway = script  # type: ignore[assignment]
+    await door.start()
+    try:
+        yield door, script
+    finally:
+        await door.close()
+
+
+def send_on(event: Any) -> list[i.Action]:
+    """Sends each request to the first backend and fails it when that did not serve."""
+    if isinstance(event, i.Request):
+        return [i.Send(event.request, FIRST, 0.0)]
+    if isinstance(event, i.Finished) and event.outcome is not Outcome.OK:
+        return [i.Fail(event.request)]
+    return []
+
+
+def test_a_request_is_served_with_its_headers_and_body_unchanged() -> None:
+    async def test() -> None:
+        backend = Backend(lambda message: http_answer(body=b"got " + message.body))
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial) as (door, _),
+            Client(door.server) as client,
+        ):
+            ready = await client.send(b"GET /-/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert ready.status == 200
+            answer = await client.ask(1, body=b"a recording", Request_Id="9b1f03aa5c7e2d41")
+            assert (answer.status, answer.body) == (200, b"got a recording")
+            (seen,) = backend.seen
+            assert seen.start == "POST /class-1?customer=0000000000000005 HTTP/1.1"
+            assert seen.headers["request-id"] == "9b1f03aa5c7e2d41"
+            assert seen.headers["idempotency-key"] == "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+            assert seen.body == b"a recording"
+            # It tells how long the front door will wait, which is less than the client will.
+            assert 3000 < int(seen.headers["request-timeout"].removesuffix("m")) < 4000
+
+    run(test())
+
+
+def test_the_module_hears_the_terms_of_a_request() -> None:
+    async def test() -> None:
+        def react(event: Any) -> list[i.Action]:
+            return [i.Refuse(event.request, 0.25)] if isinstance(event, i.Request) else []
+
+        async with front_door("127.0.0.1:1", react=react) as (door, script), Client(door.server) as client:
+            answer = await client.ask(
+                2, 900, X_Tier="plan-1", X_Call_Terms="units=2,spread=2,first=1", Client_Retry="1"
+            )
+            # What the module has given up on is answered at once, with the time to come back.
+            assert (answer.status, answer.headers["retry-after"]) == (503, "0.250")
+            (event,) = script.of(i.Request)
+            assert (event.cls, event.plan, event.customer) == (2, 1, 5)
+            assert (event.units, event.width, event.first, event.is_retry) == (2.0, 2, 1, True)
+            assert 0.8 < event.left <= 0.9
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("cls", "header", "value", "status"),
+    [
+        (0, "Request-Id", "", 400),
+        (0, "Request-Class", "class-1", 400),
+        (0, "X-Tier", "gold", 400),
+        (0, "Request-Timeout", "4", 400),
+        (0, "X-Call-Terms", "units=none,spread=1,first=0", 400),
+        (0, "X-Call-Terms", "units=nan,spread=1,first=0", 400),
+        (1, "Idempotency-Key", "", 400),  # keyed, but with no key to drop a repeat by
+        (2, "Idempotency-Key", "5c0f", 400),
+        (0, "X-Pad", "x" * MOST_HEAD, 400),
+        (2, "Content-Length", str(MOST_BODY + 1), 413),
+        (2, "Content-Length", "x", 400),
+    ],
+)
+def test_bad_input_reaches_neither_the_module_nor_a_backend(
+    cls: int, header: str, value: str, status: int
+) -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on) as (door, script),
+            Client(door.server) as client,
+        ):
+            bad = client.request(cls, 4000, b"", **{header: value})
+            assert (await client.send(bad)).status == status
+            assert not script.events and not backend.opened
+
+    run(test())
+
+
+def test_bytes_that_are_no_request_are_answered_and_end_the_connection() -> None:
+    async def test() -> None:
+        async with front_door("127.0.0.1:1", react=send_on) as (door, script), Client(door.server) as client:
+            assert (await client.send(b"\x00\x01 nonsense\r\n\r\n")).status == 400
+            assert await client.reader.read() == b""
+            assert not script.events
+
+    run(test())
+
+
+def test_pipelined_requests_are_answered_in_their_order() -> None:
+    async def test() -> None:
+        held: list[i.Request] = []
+
+        def react(event: Any) -> list[i.Action]:
+            if isinstance(event, i.Request):
+                held.append(event)
+                if len(held) == 2:  # the second is answered first
+                    return [i.Refuse(held[1].request, 0.0), i.Fail(held[0].request)]
+            return []
+
+        async with front_door("127.0.0.1:1", react=react) as (door, _), Client(door.server) as client:
+            first = await client.send(client.request() + client.request())
+            assert MOST_PIPELINED >= 2
+            assert [first.status, int((await client.reader.readline()).split()[1])] == [502, 503]
+
+    run(test())
+
+
+def test_a_client_that_goes_away_is_told_to_the_module_and_its_attempt_runs_on() -> None:
+    async def test() -> None:
+        backend = Backend(lambda message: None)
+        async with listening(backend.handle) as dial, front_door(dial, react=send_on) as (door, script):
+            async with Client(door.server) as client:
+                client.writer.write(client.request())
+                await until(lambda: backend.seen)
+            await until(lambda: script.of(i.Left))
+            assert backend.open == 1 and not script.outcomes() and door.host.table
+
+    run(test())
+
+
+def test_outcomes_tell_what_never_ran() -> None:
+    replies: list[tuple[bytes, Outcome]] = [
+        (http_answer(500), Outcome.ERROR),
+        (http_answer(503, Not_Started="1"), Outcome.FULL),
+        (http_answer(504, Not_Started="1"), Outcome.FULL),
+        (http_answer(503), Outcome.ERROR),  # no proof that it never ran
+        (b"", Outcome.RESET),  # closed after the whole request was written
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\nConnection: close\r\n\r\nhalf", Outcome.RESET),
+        (b"what?\r\n\r\n", Outcome.RESET),  # framing is lost, and it may have run
+    ]
+
+    async def test() -> None:
+        for reply, expected in replies:
+            backend = Backend(lambda message, reply=reply: reply)  # type: ignore[misc]
+            async with (
+                listening(backend.handle) as dial,
+                front_door(dial, react=send_on) as (door, script),
+                Client(door.server) as client,
+            ):
+                assert (await client.ask(2)).status == 502
+                # One attempt each: nothing is sent again silently.
+                assert (script.outcomes(), len(backend.seen)) == ([expected], 1)
+
+    run(test())
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def test() -> None:
+        async with listening(Backend().handle) as dial:
+            pass
+        async with front_door(dial, react=send_on) as (door, script), Client(door.server) as client:
+            assert (await client.ask(2)).status == 502
+            assert script.outcomes() == [Outcome.CONNECT_FAILED]
+
+    run(test())
+
+
+def test_a_connection_that_never_comes_up_ends_with_the_connect_timeout() -> None:
+    async def test() -> None:
+        # A listener that accepts nothing, its backlog full: further connections hang.
+        with contextlib.ExitStack() as stack:
+            silent = stack.enter_context(socket.socket())
+            silent.bind(("127.0.0.1", 0))
+            silent.listen(0)
+            for _ in range(3):
+                filler = stack.enter_context(socket.socket())
+                filler.setblocking(False)
+                with contextlib.suppress(BlockingIOError):
+                    filler.connect(silent.getsockname())
+            dial = f"127.0.0.1:{silent.getsockname()[1]}"
+            async with front_door(dial, react=send_on) as (door, script), Client(door.server) as client:
+                began = time.monotonic()
+                assert (await client.ask(2)).status == 502
+                assert script.outcomes() == [Outcome.CONNECT_FAILED]
+                assert 0.2 < time.monotonic() - began < 2.0  # caps.connect_timeout_s is 0.25
+
+    run(test())
+
+
+def test_a_stale_pooled_connection_ends_as_reset_and_is_not_sent_again() -> None:
+    async def test() -> None:
+        backend = Backend(lambda message: http_answer(body=b"x") if len(backend.seen) < 2 else b"")
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on) as (door, script),
+            Client(door.server) as client,
+        ):
+            assert (await client.ask(2)).status == 200
+            assert (await client.ask(2)).status == 502
+            assert script.outcomes() == [Outcome.OK, Outcome.RESET]
+            assert (backend.opened, len(backend.seen)) == (1, 2)
+
+    run(test())
+
+
+def test_connections_are_kept_and_connection_close_is_honoured() -> None:
+    async def test() -> None:
+        answers = [http_answer(), http_answer(Connection="close"), http_answer()]
+        backend = Backend(lambda message: answers[len(backend.seen) - 1])
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on) as (door, _),
+            Client(door.server) as client,
+        ):
+            for opened in (1, 1, 2):
+                assert (await client.ask()).status == 200
+                assert backend.opened == opened
+
+    run(test())
+
+
+def test_idle_connections_are_retired_before_the_backend_closes_them() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on) as (door, _),
+            Client(door.server) as client,
+        ):
+            assert (await client.ask()).status == 200
+            assert backend.open == 1
+            pool = door.host.upstream.pools[FIRST]
+            pool.idle[0].idle_since -= 16.0  # the backends' idle time is 30 s
+            door.host.upstream.timer.cancel()
+            door.host.upstream.sweep()
+            await until(lambda: backend.open == 0)
+            assert not pool.links and door.host.upstream.open == 0
+
+    run(test())
+
+
+def test_a_restarted_backend_gets_new_connections() -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on) as (door, _),
+            Client(door.server) as client,
+        ):
+            assert (await client.ask()).status == 200
+            (address,) = [pool.address for pool in door.host.upstream.pools.values()]
+            entry = i.Entry(FIRST, 0, time.time(), i.State.READY, 0, 0, 1.0)
+            door.host.members(i.Members(i.Listing.DELTA, 42, (entry,)), {FIRST: address})
+            await until(lambda: backend.open == 0)
+            assert (await client.ask()).status == 200
+            assert backend.opened == 2
+
+    run(test())
+
+
+def test_load_reports_come_in_the_order_of_the_settings() -> None:
+    async def test() -> None:
+        loads = ["TEXT queue=2, latency_ms=180.5, util=0.61", "TEXT queue=2", "TEXT queue=x, util=1", ""]
+        backend = Backend(lambda message: http_answer(Server_Load=loads[len(backend.seen) - 1]))
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on) as (door, script),
+            Client(door.server) as client,
+        ):
+            for _ in loads:
+                assert (await client.ask()).status == 200
+            reports = [event.report for event in script.of(i.Finished)]
+            assert reports == [(180.5, 0.61, 2.0), (), (), ()]
+
+    run(test())
+
+
+def test_a_probe_brings_the_load_report() -> None:
+    async def test() -> None:
+        def react(event: Any) -> list[i.Action]:
+            return [i.Probe(FIRST), i.Refuse(event.request, 0.0)] if isinstance(event, i.Request) else []
+
+        backend = Backend(lambda message: http_answer(body=b"TEXT latency_ms=9, util=0.5, queue=1"))
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=react) as (door, script),
+            Client(door.server) as client,
+        ):
+            assert (await client.ask()).status == 503
+            await until(lambda: script.of(i.Probed))
+            (probed,) = script.of(i.Probed)
+            assert (probed.backend, probed.outcome, probed.report) == (FIRST, Outcome.OK, (9.0, 0.5, 1.0))
+            assert backend.seen[0].start == "GET /-/load HTTP/1.1"
+
+    run(test())
+
+
+@pytest.mark.parametrize("how", ["cancel", "time-out"])
+def test_a_given_up_attempt_has_ended_before_the_next_is_sent(how: str) -> None:
+    """Two attempts must never be out at once: the first one's connection ends, then the module goes on."""
+
+    async def test() -> None:
+        def react(event: Any) -> list[i.Action]:
+            if isinstance(event, i.Request):
+                return [i.Send(event.request, FIRST, 0.1 if how == "time-out" else 0.0), i.SetTimer(0.0, 1)]
+            if isinstance(event, i.Fired) and how == "cancel":
+                # Not before the backend has the request whole, or it would never have been out.
+                return [i.Cancel(1, 0)] if silent.seen else [i.SetTimer(0.0, 1)]
+            if isinstance(event, i.Finished) and event.attempt == 0:
+                return [i.Send(event.request, 2, 0.0)]
+            return []
+
+        silent = Backend(lambda message: None)
+        open_then: list[int] = []
+
+        def serve(message: Message) -> bytes:
+            open_then.append(silent.open)
+            return http_answer(body=b"second")
+
+        async with (
+            listening(silent.handle) as first,
+            listening(Backend(serve).handle) as second,
+            front_door(first, second, react=react, caps__second_copies="false") as (door, script),
+            Client(door.server) as client,
+        ):
+            answer = await client.ask()
+            assert (answer.status, answer.body, open_then) == (200, b"second", [0])
+            expected = Outcome.CANCELLED if how == "cancel" else Outcome.TIMEOUT
+            assert script.outcomes() == [expected, Outcome.OK]
+
+    run(test())
+
+
+def test_a_second_copy_is_not_sent_where_the_settings_forbid_it() -> None:
+    async def test() -> None:
+        def react(event: Any) -> list[i.Action]:
+            if isinstance(event, i.Request):
+                return [i.Send(event.request, FIRST, 0.0), i.Send(event.request, FIRST, 0.0)]
+            return []
+
+        backend = Backend()
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=react, caps__second_copies="false") as (door, script),
+            Client(door.server) as client,
+        ):
+            assert (await client.ask()).status == 200
+            assert script.outcomes() == [Outcome.MOOT, Outcome.OK] and len(backend.seen) == 1
+
+    run(test())
+
+
+def test_a_request_is_answered_in_time_whatever_the_module_does() -> None:
+    async def test() -> None:
+        def react(event: Any) -> list[i.Action]:
+            return [i.Send(event.request, FIRST, 0.0)] if isinstance(event, i.Request) else []
+
+        backend = Backend(lambda message: None)
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=react) as (door, script),
+            Client(door.server) as client,
+        ):
+            began = time.monotonic()
+            assert (await client.ask(2, 300)).status == 504
+            assert time.monotonic() - began < 0.3
+            # The attempt was given up before the deadline, and nothing is left behind.
+            assert script.outcomes() == [Outcome.TIMEOUT] and len(script.of(i.Left)) == 1
+            assert not door.host.table and door.host.waiting == 0
+
+    run(test())
+
+
+def test_an_error_in_the_module_loses_no_request(caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        def react(event: Any) -> list[i.Action]:
+            if isinstance(event, i.Request) and event.cls == 0:
+                raise RuntimeError("a bug")
+            if isinstance(event, i.Finished) and event.outcome is not Outcome.OK:
+                raise RuntimeError("another")
+            return send_on(event)
+
+        backend = Backend(lambda message: http_answer(500 if len(backend.seen) == 1 else 200))
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=react) as (door, _),
+            Client(door.server) as client,
+        ):
+            assert (await client.ask(0)).status == 503  # it never ran, so this is true
+            assert (await client.ask(2)).status == 502  # it may have run
+            assert (await client.ask(2)).status == 200
+            assert not door.host.table
+
+    run(test())
+    assert "the module failed on Request" in caplog.text and "the module failed on Finished" in caplog.text
+
+
+def test_timers_never_fire_early() -> None:
+    """The module forgets a timer that fires early, and would then stand still until its next event."""
+
+    async def test() -> None:
+        due: dict[int, float] = {}
+        fired: list[tuple[int, float]] = []
+
+        def react(event: Any) -> list[i.Action]:
+            if isinstance(event, i.Request):
+                due.update({n: door.host.now + n * 0.0017 for n in range(40)})
+                return [i.SetTimer(at, n) for n, at in due.items()]
+            if isinstance(event, i.Fired):
+                fired.append((event.token, door.host.now))
+            return []
+
+        async with front_door("127.0.0.1:1", react=react) as (door, _), Client(door.server) as client:
+            client.writer.write(client.request())
+            await until(lambda: len(fired) == 40)
+            assert all(at >= due[n] for n, at in fired)
+
+    run(test())
+
+
+def test_descriptors_are_bounded_and_surplus_clients_are_refused() -> None:
+    async def test() -> None:
+        async with front_door("127.0.0.1:1", react=lambda event: []) as (door, script):
+            door.server.most_clients = 2
+            async with Client(door.server) as one, Client(door.server) as two:
+                for busy in (one, two):
+                    busy.writer.write(busy.request())
+                await until(lambda: len(script.of(i.Request)) == 2)
+                async with Client(door.server) as three:
+                    answer = await three.ask()
+                assert (answer.status, "retry-after" in answer.headers) == (503, True)
+                assert len(script.of(i.Request)) == 2
+
+    run(test())
+
+
+def test_backend_connections_are_bounded_and_idle_ones_make_room() -> None:
+    async def test() -> None:
+        def react(event: Any) -> list[i.Action]:
+            if isinstance(event, i.Request):
+                return [i.Send(event.request, event.cls + 1, 0.0)]
+            return send_on(event)
+
+        one, two = Backend(), Backend(lambda message: None)
+        async with (
+            listening(one.handle) as first,
+            listening(two.handle) as second,
+            front_door(first, second, second, react=react) as (door, script),
+            Client(door.server) as client,
+            Client(door.server) as other,
+        ):
+            door.host.upstream.most_open = 1
+            assert (await client.ask(0)).status == 200
+            client.writer.write(client.request(1))  # the idle connection to the first makes room
+            await until(lambda: two.seen)
+            await until(lambda: one.open == 0)
+            assert (await other.ask(2)).status == 502  # no room left: it never ran
+            assert script.outcomes() == [Outcome.OK, Outcome.FULL]
+
+    run(test())
+
+
+def test_after_sigterm_it_serves_on_and_finishes_what_it_holds() -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await go.wait()
+            writer.write(http_answer(body=b"late"))
+            await asyncio.sleep(5)
+
+        backend = Backend()
+
+        def react(event: Any) -> list[i.Action]:
+            if isinstance(event, i.Request):
+                return [i.Send(event.request, 2 if event.cls == 2 else FIRST, 0.0)]
+            return []
+
+        async with (
+            listening(backend.handle) as first,
+            listening(slow) as second,
+            front_door(first, second, react=react) as (door, script),
+            Client(door.server) as held,
+            Client(door.server) as client,
+        ):
+            waiting = asyncio.create_task(held.ask(2))
+            await until(lambda: script.of(i.Request))
+            drained = asyncio.create_task(door.drain())
+            await asyncio.sleep(0)
+            async with Client(door.server) as late:  # connections go on coming for a while
+                assert (await late.ask()).status == 200
+            assert (await client.ask()).status == 200
+            assert await client.reader.read() == b""  # closed between requests
+            go.set()
+            answer = await waiting
+            assert (answer.status, answer.headers["connection"]) == (200, "close")
+            await drained
+
+    run(test())
+
+
+def test_what_cannot_finish_before_sigkill_gets_a_truthful_answer() -> None:
+    async def test() -> None:
+        backend = Backend(lambda message: None)
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=lambda e: send_on(e) if isinstance(e, i.Request) else []) as (door, _),
+            Client(door.server) as client,
+        ):
+            waiting = asyncio.create_task(client.ask(2, 60_000))
+            await until(lambda: backend.seen)
+            door.drain_time = 0.7
+            await door.drain()
+            assert (await waiting).status == 504
+
+    run(test())
+
+
+def test_front_doors_name_a_lease_alike() -> None:
+    """Lease windows follow from Unix time: with a clock of its own a front door would lease other names."""
+
+    async def test() -> None:
+        tally, backend = Tally(), Backend()
+        async with (
+            listening(tally.handle) as counter,
+            listening(backend.handle) as dial,
+            front_door(dial, counter=counter) as (door, _),
+            front_door(dial, counter=counter) as (other, _),
+            Client(door.server) as client,
+            Client(other.server) as second,
+        ):
+            # Just after an edge of this customer's windows of 2 s, so that none falls between the two.
+            edge = mix(5) / 2**64 * 2.0
+            await until(lambda: (time.time() + edge) % 2.0 < 1.0)
+            assert (await client.ask()).status == 200
+            assert (await second.ask()).status == 200
+            assert abs(door.host.now - time.time()) < 5
+            names = [name for _, name, *_ in tally.calls]
+            assert len(names) == 2 and names[0] == names[1]
+
+    run(test())
