--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,63 @@
+"""The configuration, and a start that cannot succeed."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from ivymux.config import Address, ConfigError, parse
+from orchidhill.wire import parse_settings
+
+from .helpers import text
+from .sockets import config_text
+
+
+def test_nested_settings_read_as_the_simulators_do() -> None:
+    config = parse(config_text([], "127.0.0.1:6400", report__columns="latency_ms,util"), {})
+    expected = parse_settings(text(report__columns="latency_ms,util"))
+    assert config.settings == expected
+    assert (config.kinds, config.conn_idle, config.seed) == (("m2",), 30.0, 0x8C1F)
+    assert config.counter == Address("127.0.0.1", 6400)
+
+
+def test_the_environment_wins() -> None:
+    config = parse(config_text([]), {"NODE_NAME": "n7", "NODE_LISTEN": "127.0.0.7:9"})
+    assert (config.name, config.listen) == ("n7", Address("127.0.0.7", 9))
+
+
+def without(key: str) -> str:
+    raw: dict[str, Any] = json.loads(config_text([]))
+    del raw[key]
+    return json.dumps(raw)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        "{", "[]", "{}", without("listen"), without("settings"), without("limits"), without("seed"),
+        config_text([], rules__warm_up_s="soon"), config_text([], discovery="nowhere"),
+        config_text([]).replace('"sockets": 1024', '"sockets": 10'),
+    ],
+)  # fmt: skip
+def test_bad_configuration_is_refused(bad: str) -> None:
+    with pytest.raises(ConfigError):
+        parse(bad, {})
+
+
+@pytest.mark.parametrize("content", [None, "{", without("listen"), '{"settings": {}}'])
+def test_a_bad_start_ends_with_one_line(content: str | None, tmp_path: Path) -> None:
+    path = tmp_path / "config.json"
+    if content is not None:
+        path.write_text(content)
+    env = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")} | {"NODE_CONFIG": str(path)}
+    done = subprocess.run(
+        [sys.executable, "-m", "ivymux"], env=env, capture_output=True, text=True, timeout=20, check=False
+    )
+    assert done.returncode == 2 and not done.stdout
+    assert done.stderr.startswith("ivymux: ") and done.stderr.count("\n") == 1
--- /dev/null
+++ b/tests/test_counter.py
@@ -0,0 +1,200 @@
+"""The counter's client against a fake counter on loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from ivymux.config import parse_address
+from ivymux.counter import DEAD_AFTER, LINES, MOST_PENDING, Counter
+from orchidhill.interface import Count, Counted, Outcome
+
+from .sockets import Tally, listening, run, until
+
+
+def start(dial: str, timeout: float = 0.08) -> tuple[Counter, list[Counted]]:
+    heard: list[Counted] = []
+    return Counter(parse_address(dial), timeout, heard.append), heard
+
+
+def test_calls_go_out_pipelined_and_their_answers_come_in_order() -> None:
+    async def test() -> None:
+        tally = Tally()
+        async with listening(tally.handle) as dial:
+            counter, heard = start(dial)
+            for amount in (4.0, -1.5, 0.0):
+                counter.add(Count(9, amount, 4.0))
+            counter.add(Count(10, 1.0, 90.0))
+            await until(lambda: len(heard) == 4)
+            assert [c.total for c in heard if c.name == 9] == [4.0, 2.5, 2.5]
+            assert all(c.outcome is Outcome.OK for c in heard)
+            assert [b"TALLY", b"9", b"-1.500000", b"4000"] in tally.calls
+            assert [b"TALLY", b"10", b"1.000000", b"60000"] in tally.calls
+            counter.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("reply", "outcome"),
+    [
+        (b"-BUSY try later\r\n", Outcome.FULL),
+        (b"-ERR no such call\r\n", Outcome.FULL),
+        (b"+what\r\n", Outcome.TIMEOUT),  # no total: it may have been added
+    ],
+)
+def test_answers_without_a_total(reply: bytes, outcome: Outcome) -> None:
+    async def test() -> None:
+        tally = Tally(lambda number, call: reply if number == 0 else None)
+        async with listening(tally.handle) as dial:
+            counter, heard = start(dial)
+            counter.add(Count(9, 1.0, 4.0))
+            counter.add(Count(9, 1.0, 4.0))
+            await until(lambda: len(heard) == 2)
+            assert [c.outcome for c in heard] == [outcome, Outcome.OK]
+            counter.close()
+
+    run(test())
+
+
+def test_a_late_answer_is_not_taken_for_the_next_calls() -> None:
+    async def test() -> None:
+        go = asyncio.Event()
+
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if b"TALLY" not in await reader.read(1000):
+                return
+            await go.wait()
+            writer.write(b"$1\r\n1\r\n")  # the answer to the call that has timed out
+            await reader.read(1000)
+            writer.write(b"$1\r\n3\r\n")
+            await reader.read()
+
+        async with listening(slow) as dial:
+            counter, heard = start(dial, timeout=0.05)
+            counter.add(Count(8, 1.0, 4.0))
+            await until(lambda: heard)
+            assert heard[0].outcome is Outcome.TIMEOUT and heard[0].spent >= 0.05
+            counter.timeout = 5.0
+            counter.add(Count(8, 2.0, 4.0))
+            go.set()
+            await until(lambda: len(heard) == 2)
+            assert (heard[1].outcome, heard[1].total) == (Outcome.OK, 3.0)
+            counter.close()
+
+    run(test())
+
+
+def test_a_call_whose_connection_ends_may_have_been_added_and_the_next_reconnects() -> None:
+    async def test() -> None:
+        tally = Tally()
+        ended: list[int] = []
+
+        async def first_ends(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            if not ended:
+                if await reader.read(1000):
+                    ended.append(1)
+                return
+            await tally.handle(reader, writer)
+
+        async with listening(first_ends) as dial:
+            counter, heard = start(dial, timeout=5.0)
+            counter.add(Count(8, 1.0, 4.0))
+            await until(lambda: heard)
+            assert heard[0].outcome is Outcome.TIMEOUT
+            await until(lambda: counter.lines[0].transport is not None)
+            counter.add(Count(8, 1.0, 4.0))
+            await until(lambda: len(heard) == 2)
+            assert heard[1].outcome is Outcome.OK and len(tally.calls) == 1
+            counter.close()
+
+    run(test())
+
+
+def test_a_refused_connection_proves_that_nothing_was_added() -> None:
+    async def test() -> None:
+        async with listening(Tally().handle) as dial:
+            pass
+        counter, heard = start(dial)
+        counter.add(Count(8, 1.0, 4.0))  # held while the connection is tried
+        await until(lambda: heard)
+        counter.add(Count(8, 1.0, 4.0))  # not held while it is known to be down
+        await until(lambda: len(heard) == 2)
+        assert [c.outcome for c in heard] == [Outcome.CONNECT_FAILED] * 2
+        counter.close()
+
+    run(test())
+
+
+def test_bytes_that_are_no_answer_end_the_connection() -> None:
+    async def test() -> None:
+        tally = Tally(lambda number, call: b"?!\r\n" if number == 0 else None)
+        async with listening(tally.handle) as dial:
+            counter, heard = start(dial, timeout=5.0)
+            counter.add(Count(8, 1.0, 4.0))
+            await until(lambda: heard)
+            assert heard[0].outcome is Outcome.TIMEOUT
+            await until(lambda: counter.lines[0].transport is not None)
+            counter.add(Count(8, 1.0, 4.0))
+            await until(lambda: len(heard) == 2)
+            assert heard[1].outcome is Outcome.OK
+            counter.close()
+
+    run(test())
+
+
+def test_a_counter_that_vanished_is_connected_to_anew() -> None:
+    async def test() -> None:
+        opened: list[int] = []
+
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            opened.append(1)
+            await asyncio.sleep(30)
+
+        async with listening(silent) as dial:
+            counter, heard = start(dial, timeout=0.02)
+            await until(lambda: len(opened) == LINES)
+            counter.add(Count(8, 1.0, 4.0))
+            await until(lambda: heard)
+            line = counter.lines[0]
+            line.look(time.monotonic() + DEAD_AFTER / 2)
+            assert line.transport is not None and not line.transport.is_closing()
+            line.look(time.monotonic() + DEAD_AFTER + 0.1)
+            await until(lambda: len(opened) == LINES + 1)
+            counter.close()
+
+    run(test())
+
+
+def test_an_idle_connection_is_kept_by_a_ping() -> None:
+    async def test() -> None:
+        tally = Tally()
+        async with listening(tally.handle) as dial:
+            counter, _ = start(dial)
+            line = counter.lines[0]
+            await until(lambda: line.transport is not None)
+            before = line.heard
+            line.look(time.monotonic() + 3.0)
+            assert len(line.calls) == 1
+            await until(lambda: not line.calls)
+            assert line.heard > before and not tally.calls
+            counter.close()
+
+    run(test())
+
+
+def test_pending_calls_are_bounded() -> None:
+    async def test() -> None:
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await asyncio.sleep(30)
+
+        async with listening(silent) as dial:
+            counter, heard = start(dial, timeout=10.0)
+            for _ in range(MOST_PENDING + 1):
+                counter.add(Count(8, 1.0, 4.0))
+            assert [c.outcome for c in heard] == [Outcome.FULL]
+            counter.close()
+
+    run(test())
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,128 @@
+"""The watch on discovery, and names as ids."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from ivymux import discovery
+from ivymux.config import Address, parse_address
+from ivymux.discovery import Discovery, Names, backend_id
+from orchidhill.interface import Listing, Members, State
+
+from .sockets import Agent, host_line, listening, run, until
+
+Heard = list[tuple[Members, dict[int, Address]]]
+
+
+def change(seq: int, *hosts: Any, whole: bool = False) -> bytes:
+    return json.dumps({"seq": seq, "whole": whole, "hosts": hosts}).encode()
+
+
+def start(dial: str, seq: int = 41) -> tuple[Discovery, Heard]:
+    heard: Heard = []
+    names = Names(("a", "b"), ("m1", "m2"))
+    return Discovery(parse_address(dial), names, seq, lambda *told: heard.append(told)), heard
+
+
+def test_names_map_to_the_same_ids_everywhere() -> None:
+    assert backend_id("s-5be2a07c") == 0x5BE2A07C
+    assert backend_id("worker-7") == backend_id("worker-7") != backend_id("worker-8")
+    assert 0 <= backend_id("s-5BE2A07C") < 1 << 32
+
+
+def test_lists_and_changes_reach_the_module() -> None:
+    async def test() -> None:
+        line = host_line("s-00000007", "127.0.0.1:81", block=3) | {"site": "b", "born_ms": 1764300000250}
+        agent = Agent([change(42, line, whole=True), b"", change(43, line | {"health": "Gone"})])
+        async with listening(agent.handle) as dial:
+            watch, heard = start(dial)
+            await until(lambda: len(heard) == 2)
+            assert agent.targets == ["/api/targets?watch=1&from=41"]
+            assert [m.listing for m, _ in heard] == [Listing.FULL, Listing.DELTA]
+            (entry,) = heard[0][0].entries
+            assert (entry.backend, entry.zone, entry.kind, entry.cell) == (7, 1, 1, 3)
+            assert (entry.started, entry.state) == (1764300000.25, State.READY)
+            assert heard[0][1] == {7: Address("127.0.0.1", 81)}
+            assert heard[1][0].entries[0].state is State.GONE
+            watch.close()
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [b"{", b"[]", b'{"seq":1}', change(42, 7), change(42, {"host": "s-00000001"}), b"\xff\xfe"],
+)
+def test_bad_lines_are_skipped(bad: bytes, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        agent = Agent([bad, change(43, host_line("s-00000007", "127.0.0.1:81"))])
+        async with listening(agent.handle) as dial:
+            watch, heard = start(dial)
+            await until(lambda: heard and heard[-1][0].version == 43)
+            assert [e.backend for m, _ in heard for e in m.entries] == [7]
+            assert len(agent.targets) == 1
+            watch.close()
+
+    run(test())
+    assert "skipped" in caplog.text
+
+
+def test_an_ended_watch_is_taken_up_after_the_last_change() -> None:
+    async def test() -> None:
+        agent = Agent([change(44), b"<end>"])
+        async with listening(agent.handle) as dial:
+            watch, heard = start(dial)
+            await until(lambda: len(agent.targets) == 2)
+            assert agent.targets[1] == "/api/targets?watch=1&from=44"
+            agent.lines.append(change(45))  # what was told before is not told to the module again
+            await until(lambda: heard[-1][0].version == 45)
+            assert [m.version for m, _ in heard] == [44, 45]
+            watch.close()
+
+    run(test())
+
+
+def test_a_silent_watch_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A machine that vanished leaves its connections open; the watch must not hang on one for ever."""
+    monkeypatch.setattr(discovery, "SILENT_AFTER", 0.1)
+
+    async def test() -> None:
+        agent = Agent()
+        async with listening(agent.handle) as dial:
+            watch, _ = start(dial)
+            await until(lambda: len(agent.targets) == 2)
+            watch.close()
+
+    run(test())
+
+
+def test_a_line_without_end_ends_the_watch(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "MOST_LINE", 1000)
+
+    async def test() -> None:
+        async def endless(reader: Any, writer: Any) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            agent.targets.append("")
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" + b"x" * 2048 + b"\r\n"
+            )
+            await reader.read()
+
+        agent = Agent()
+        async with listening(endless) as dial:
+            watch, heard = start(dial)
+            await until(lambda: len(agent.targets) == 2)
+            assert not heard
+            watch.close()
+
+    run(test())
+
+
+def test_two_names_with_one_id_are_not_taken_for_one_backend(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery, "backend_id", lambda name: 7)
+    hosts = [host_line("one", "127.0.0.1:81"), host_line("two", "127.0.0.1:82")]
+    members, addresses = Names(("a",), ("m2",)).members({"seq": 1, "whole": True, "hosts": hosts})
+    assert len(members.entries) == 1 and addresses == {7: Address("127.0.0.1", 81)}
