Tell every refused client when to come back

The operators ask that what the module has given up on is answered at once and told when to come back. Seen: no refusal on this site carried Retry-After. Gateway.refuse set it to 0 where the settings say that clients are not told (caps.retry_after false, as here), and Gateway.end gave none at all. The time is told always now: the lease's edge, half the longest advice, or, where no backend took the request, the fleet's latency.

Guess: clients that heed it come again less often. One inherited test expected the advice 0 and now expects the fleet's latency.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -631,14 +631,14 @@
         effect, everywhere = job.cls.effect, job.cls.scope is Scope.ALL
         harmless = effect is Effect.SAFE or (effect is Effect.KEYED and everywhere)
         if not job.out and (job.ran is None or harmless):
-            self.refuse(job, 0.0)
+            self.refuse(job, self.latency)  # by then about as much has left the fleet as is out now
         else:
             self.close(job)
             self.actions.append(i.Fail(job.req.request))
 
     def refuse(self, job: Job, retry_after: float) -> None:
         self.close(job)
-        most = self.settings.limits.max_retry_after if self.settings.limits.retry_after else 0.0
+        most = self.settings.limits.max_retry_after  # told also where clients at large do not heed it
         self.actions.append(i.Refuse(job.req.request, min(max(0.0, retry_after), most)))
 
     def close(self, job: Job | None) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from orchidhill import interface as i
-from orchidhill.gateway import FORGET, TICK, Gateway, Lease, mix
+from orchidhill.gateway import FIRST_LATENCY, FORGET, TICK, Gateway, Lease, mix
 
 from .helpers import START, Counter, done, entry, gateway, play, request, sends
 
@@ -260,7 +260,7 @@
     ended: list[i.Action] = []
     for n in range(1, 13):
         ended += made.handle(START + n * TICK, i.Fired(1))
-    assert [a for a in ended if isinstance(a, i.Refuse)] == [i.Refuse(1, 0.0)]
+    assert [a for a in ended if isinstance(a, i.Refuse)] == [i.Refuse(1, FIRST_LATENCY)]
 
 
 def test_the_time_out_at_the_deadline_is_answered_as_failed() -> None:
@@ -473,3 +473,21 @@
     assert again.backend != sent.backend
     made.handle(START + 1.6, done(1, sent, i.Outcome.OK, closed=True))
     assert not silent.silent
+
+
+def test_refusals_tell_when_to_come_back_whatever_the_clients_are_said_to_do() -> None:
+    """The operators' rule: what is given up on is answered at once and told when to come back.  Settings
+    that say that clients at large do not listen must not silence it.
+    """
+    made, counter = gateway(caps__retry_after="false", caps__max_retry_after_s="1.5"), Counter()
+    found = [a for n in range(20) for a in play(made, counter, START, request(n, plan=1))]
+    refusals = [a for a in found if isinstance(a, i.Refuse)]
+    assert refusals and all(0 < r.retry_after <= 1.5 for r in refusals)
+
+
+def test_a_request_that_no_backend_took_is_told_when_to_come_back() -> None:
+    made, counter = gateway([entry(1)]), Counter()
+    (send,) = sends(play(made, counter, START, request(1, cls=2)))
+    late = START + 3.99
+    (refusal,) = made.handle(late, done(1, send, i.Outcome.FULL))[:1]
+    assert isinstance(refusal, i.Refuse) and refusal.retry_after > 0
