--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -21,6 +21,7 @@
 MOST_HEAD = 16 * 1024
 MOST_HELD = 32 << 20  # bytes of bodies held in all; beyond it requests are refused
 MOST_PIPELINED = 4  # requests on one connection that wait for their answers
+MOST_TIMEOUT = 600.0  # seconds that a request is held, whatever its client would wait
 READ_TIMEOUT = 10.0  # seconds for a request to come whole
 IDLE_TIMEOUT = 75.0  # seconds that a connection may stand idle
 LINGER = 1.0  # seconds to read on after an answer that ends a broken connection
@@ -71,7 +72,7 @@
     if found is None:
         raise BadRequest("malformed Request-Timeout")
     number = float(found[1] + b"." + (found[2] or b"0"))
-    return number / (1e3 if found[3] == b"m" else 1e6)
+    return min(MOST_TIMEOUT, number / (1e3 if found[3] == b"m" else 1e6))
 
 
 def encode(answer: Answer, close: bool) -> bytes:
@@ -88,13 +89,12 @@
 class Exchange:
     """One request on a client's connection and its answer, which waits for those before it."""
 
-    __slots__ = ("answer", "client", "held", "keep_alive", "request", "request_id")
+    __slots__ = ("answer", "client", "held", "keep_alive", "request")
 
     def __init__(self, client: Client, keep_alive: bool) -> None:
         self.client, self.keep_alive = client, keep_alive
         self.answer: Answer | None = None
         self.request: Open | None = None
-        self.request_id: bytes | None = None
         self.held = 0
 
     def reply(self, answer: Answer) -> None:
@@ -124,6 +124,7 @@
     def clear(self) -> None:
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
+        self.headed = False
         self.head = 0
         self.body: list[bytes] = []
         self.size = 0
@@ -169,10 +170,12 @@
         self.count(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self.headers.append((name.lower(), value))
         self.count(len(name) + len(value) + 4)
+        if not self.headed:  # a trailer is no header: it could stand in for one that was left out
+            self.headers.append((name.lower(), value))
 
     def on_headers_complete(self) -> None:
+        self.headed = True
         for name, value in self.headers:
             if name == b"content-length" and int(value) > MOST_BODY:
                 raise BadRequest("body too large", 413)
@@ -189,8 +192,10 @@
         self.arriving = False
         exchange = Exchange(self, self.parser.should_keep_alive())
         self.pending.append(exchange)
-        if len(self.pending) >= MOST_PIPELINED and self.transport is not None:
-            self.transport.pause_reading()
+        if len(self.pending) > MOST_PIPELINED:
+            # One read may hold hundreds of requests, each with an answer of 64 KiB to be kept for its turn.
+            exchange.reply(Answer(503, retry_after=1.0))
+            return
         try:
             self.take(exchange)
         except BadRequest as error:
@@ -201,7 +206,10 @@
                 exchange.reply(Answer(502))
 
     def take(self, exchange: Exchange) -> None:
-        url = httptools.parse_url(self.url)
+        try:
+            url = httptools.parse_url(self.url)
+        except httptools.HttpParserInvalidURLError:
+            raise BadRequest("malformed target") from None
         path = url.path or b""
         method = self.parser.get_method()
         server = self.server
@@ -283,11 +291,18 @@
             if close:
                 self.end()
                 return
-        if not self.broken and self.transport is not None and len(self.pending) < MOST_PIPELINED:
-            self.transport.resume_reading()
         if not self.arriving:
             self.since = time.monotonic()
 
+    def pause_writing(self) -> None:
+        """Answers that a client does not read must not pile up here: no further requests until it does."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        if self.transport is not None:
+            self.transport.resume_reading()
+
     def reject(self, error: BadRequest) -> None:
         """Answer what cannot be read as a request, behind the answers still owed, and end."""
         if not self.broken:
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -17,7 +17,19 @@
 from orchidhill.gateway import mix
 from orchidhill.interface import Outcome
 
-from .sockets import Backend, Client, Message, Tally, config, host_line, http_answer, listening, run, until
+from .sockets import (
+    Backend,
+    Client,
+    Message,
+    Tally,
+    config,
+    host_line,
+    http_answer,
+    listening,
+    read_message,
+    run,
+    until,
+)
 
 FIRST = 0x00000001
 
@@ -154,6 +166,70 @@
     run(test())
 
 
+@pytest.mark.parametrize("target", [b"http://[::", b"/\xff?customer=0000000000000005", b"*"])
+def test_a_malformed_target_is_the_clients_fault(target: bytes, caplog: pytest.LogCaptureFixture) -> None:
+    async def test() -> None:
+        async with front_door("127.0.0.1:1", react=send_on) as (door, script), Client(door.server) as client:
+            answer = await client.send(b"GET " + target + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+            assert answer.status in (400, 404) and not script.events
+
+    run(test())
+    assert not caplog.records  # nothing is logged per request
+
+
+def test_a_trailer_does_not_stand_in_for_a_header() -> None:
+    async def test() -> None:
+        async with front_door("127.0.0.1:1", react=send_on) as (door, script), Client(door.server) as client:
+            head = client.request(2, Request_Id="", Content_Length="", Transfer_Encoding="chunked")
+            answer = await client.send(head + b"3\r\nabc\r\n0\r\nRequest-Id: 9b1f\r\n\r\n")
+            assert answer.status == 400 and not script.events
+
+    run(test())
+
+
+def test_pipelined_requests_are_bounded() -> None:
+    async def test() -> None:
+        backend = Backend(lambda message: http_answer(body=b"x" * MOST_BODY))
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on) as (door, script),
+            Client(door.server) as client,
+        ):
+            client.writer.write(b"".join(client.request() for _ in range(100)))
+            answers = [await read_message(client.reader) for _ in range(100)]
+            assert [a.status for a in answers[:MOST_PIPELINED]] == [200] * MOST_PIPELINED
+            refused = [a for a in answers if a.status == 503]
+            assert refused and all("retry-after" in a.headers for a in refused)
+            assert len(script.of(i.Request)) == 100 - len(refused)
+
+    run(test())
+
+
+def test_a_client_that_does_not_read_its_answers_is_not_read_either() -> None:
+    async def test() -> None:
+        backend = Backend(lambda message: http_answer(body=b"x" * MOST_BODY))
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on) as (door, _),
+            Client(door.server) as client,
+        ):
+            (served,) = door.server.clients
+            transport = served.transport
+            assert transport is not None
+            asked = 0
+            while transport.is_reading():  # until the sockets' buffers are full of answers
+                asked += 1
+                seen = len(backend.seen)
+                client.writer.write(client.request())
+                await until(lambda seen=seen: len(backend.seen) > seen and not served.pending)  # type: ignore[misc]
+            client.writer.write(client.request())
+            for _ in range(asked + 1):  # once it reads, all of it comes
+                answer = await read_message(client.reader)
+                assert (answer.status, len(answer.body)) == (200, MOST_BODY)
+
+    run(test())
+
+
 def test_pipelined_requests_are_answered_in_their_order() -> None:
     async def test() -> None:
         held: list[i.Request] = []
