--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -288,6 +288,31 @@
     run(test())
 
 
+@pytest.mark.parametrize("unsent", [True, False])
+def test_a_request_that_was_not_written_whole_never_ran(unsent: bool) -> None:
+    """The transport tells by pausing its protocol that bytes are left; 64 KiB always fit on loopback, so
+    the test stands in for it.
+    """
+
+    async def test() -> None:
+        backend = Backend(lambda message: None)
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on) as (door, script),
+            Client(door.server) as client,
+        ):
+            waiting = asyncio.create_task(client.ask(2))
+            await until(lambda: backend.seen)
+            (link,) = door.host.upstream.pools[FIRST].links
+            if unsent:
+                link.pause_writing()
+            link.abort()
+            assert (await waiting).status == 502
+            assert script.outcomes() == [Outcome.CONNECT_FAILED if unsent else Outcome.RESET]
+
+    run(test())
+
+
 def test_a_refused_connection_never_ran() -> None:
     async def test() -> None:
         async with listening(Backend().handle) as dial:
