Do not keep the connection of a client that never reads its answers

Found by reading server.py: an idle connection was closed, which waits until its bytes have left; a client that does not read kept its descriptor for ever. The new test fails with close (Client.look) and passes with abort. A client has 5 s now, not 1 s, to read the last answer on a connection that ends, as the abort after it could cut an answer short. Status 429, which nothing sends, is gone.

--- a/ivymux/host.py
+++ b/ivymux/host.py
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True)
 class Answer:
-    """A final answer.  `status` 200 serves, 429 and 503 refuse, any other fails."""
+    """A final answer.  `status` 200 serves, 503 refuses, any other fails."""
 
     status: int
     body: bytes = b""
--- a/ivymux/server.py
+++ b/ivymux/server.py
@@ -24,12 +24,12 @@
 MOST_TIMEOUT = 600.0  # seconds that a request is held, whatever its client would wait
 READ_TIMEOUT = 10.0  # seconds for a request to come whole
 IDLE_TIMEOUT = 75.0  # seconds that a connection may stand idle
-LINGER = 1.0  # seconds to read on after an answer that ends a broken connection
+LINGER = 5.0  # seconds that a client has to read the last answer on its connection
 SURPLUS = 64  # connections above the most that are still answered, with a refusal
 SWEEP = 2.0
 
 REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 413: "Content Too Large", 429: "Too Many Requests",
+    200: "OK", 400: "Bad Request", 404: "Not Found", 413: "Content Too Large",
     502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
 HOP_BY_HOP = frozenset(
@@ -324,7 +324,7 @@
         if self.arriving and now - self.since > READ_TIMEOUT:
             self.reject(BadRequest("the request did not come whole"))
         elif not self.arriving and now - self.since > IDLE_TIMEOUT:
-            self.transport.close()
+            self.transport.abort()  # a close would wait for a client that never reads its last answer
 
 
 class Server:
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -12,7 +12,7 @@
 import pytest
 
 from ivymux.__main__ import FrontDoor
-from ivymux.server import MOST_BODY, MOST_HEAD, MOST_PIPELINED
+from ivymux.server import IDLE_TIMEOUT, MOST_BODY, MOST_HEAD, MOST_PIPELINED
 from orchidhill import interface as i
 from orchidhill.gateway import mix
 from orchidhill.interface import Outcome
@@ -230,6 +230,29 @@
     run(test())
 
 
+def test_a_client_that_never_reads_does_not_keep_its_connection() -> None:
+    async def test() -> None:
+        backend = Backend(lambda message: http_answer(body=b"x" * MOST_BODY))
+        async with (
+            listening(backend.handle) as dial,
+            front_door(dial, react=send_on) as (door, _),
+            Client(door.server) as client,
+        ):
+            (served,) = door.server.clients
+            transport = served.transport
+            assert transport is not None
+            while transport.is_reading():
+                seen = len(backend.seen)
+                client.writer.write(client.request())
+                await until(lambda seen=seen: len(backend.seen) > seen and not served.pending)  # type: ignore[misc]
+            served.look(time.monotonic() + IDLE_TIMEOUT / 2)
+            assert not transport.is_closing()
+            served.look(time.monotonic() + IDLE_TIMEOUT + 1)
+            await until(lambda: not door.server.clients)
+
+    run(test())
+
+
 def test_pipelined_requests_are_answered_in_their_order() -> None:
     async def test() -> None:
         held: list[i.Request] = []
