Rescue: judge silence by the class's own latency and by what the backend owes it

Now a backend counts as silent for a class once it has answered nothing of it for 6 of that class's latencies, an attempt at one that answers others as lost after 10, and both waits double with each further attempt.

Two loopback tests; the one with costly work fails without the change.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -37,7 +37,9 @@
 SMOOTH = 0.1  # weight of the newest latency
 FIRST_LATENCY = 0.3  # guess before the first answer
 EJECT = 8.0  # times the pool's latency that a failed connection counts as
-SUSPECT = 2.5  # times the pool's latency that make a backend suspect
+SUSPECT = 2.5  # times the pool's latency that make a backend count as slow
+SILENCE = 6.0  # times its class's latency without a word for which an attempt's backend counts as silent
+LOST = 10.0  # and after which an attempt counts as lost at a backend that answers others
 RESEND_BUDGET = 0.1  # further attempts for overdue ones, per first attempt
 COLD_SAFETY = 0.7  # part of the cold budget that is used: work per request varies
 CANDIDATES = 12  # backends looked at for an attempt: the fleet may be large
@@ -98,6 +100,7 @@
     state: State = State.READY
     latency: float = FIRST_LATENCY
     answered: float = 0.0  # when it last answered
+    heard: dict[int, float] = field(default_factory=dict)  # and by class
     seen: float = 0.0  # when anything was last learned of it
     load: float = 0.0  # waiting requests and busy share, as last reported
     load_at: float = -math.inf
@@ -145,6 +148,7 @@
         self.aim = min((c.aim for c in settings.classes), default=1.0)
         self.holding: dict[tuple[int, bool], Lease] = {}  # leases with credit or slots to give back
         self.latency = FIRST_LATENCY
+        self.usual = [FIRST_LATENCY for _ in settings.classes]  # latencies by class: their work differs
         self.peers = max(1, settings.peers)
         self.pace = PACE / self.peers if settings.has_counter else 0.0
         self.steady, self.cut_at = self.pace, 0.0  # pace before the counter's trouble; its last cut
@@ -658,8 +662,9 @@
             backend.silent.pop(job.req.cls, None)
             self.took += SMOOTH * (took - self.took)
             self.met += SMOOTH * (self.burden(backend) - self.met)
-            backend.answered = self.now
+            backend.answered = backend.heard[job.req.cls] = self.now
             self.latency += SMOOTH / 4 * (took - self.latency)
+            self.usual[job.req.cls] += SMOOTH / 4 * (took - self.usual[job.req.cls])
         backend.latency += SMOOTH * ((took if good else max(took, 2 * self.latency)) - backend.latency)
         if event.outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             # It is down, whatever the list says: out of the way at once, tried again as this fades.
@@ -743,15 +748,27 @@
             self.scan()
 
     def rescue(self) -> None:
-        """Second attempts for what sits on a backend that has stopped answering or is far too slow."""
+        """Another attempt for what sits on a backend that has stopped answering, or is lost alone.
+
+        Work differs by class and is spread widely within each: one attempt in 15 takes 2.5 times its class's
+        latency.  An attempt that merely costs more is left alone, for begun again it would cost as much.  So
+        a backend is judged by how long it has answered nothing of the class, and what it owes alone by a
+        longer wait; both double with each further attempt.  This guards against backends that hang, drop
+        one class or vanish without a word, and against single answers that never come or never end.  It does
+        harm where requests really take ten times the usual, or where all backends slow down at once by more
+        than that: their work is lost then, for RESEND_BUDGET of the attempts.
+        """
         limits = self.settings.limits
         for job in [j for j in self.jobs.values() if not j.closed and len(j.out) == 1]:
             ((attempt, (backend, sent)),) = job.out.items()
+            usual = self.usual[job.req.cls]
             # Any class's answer hides that another gets none: silence is judged by backend and class.
-            if self.now - sent >= SUSPECT * self.latency:
+            silent = self.now - max(sent, backend.heard.get(job.req.cls, 0.0)) >= SILENCE * usual
+            if silent:
                 backend.silent[job.req.cls] = self.now
-            useless = self.now + self.latency > job.arrived + job.cls.aim
-            if useless or job.attempts >= limits.max_attempts or self.now - sent < SUSPECT * self.latency:
+            wait = (SILENCE if silent else LOST) * usual * 2 ** (job.attempts - 1)
+            useless = self.now + usual > job.arrived + job.cls.aim
+            if useless or job.attempts >= limits.max_attempts or self.now - sent < wait:
                 continue
             if self.resends >= 1 and self.has_room() and (target := self.choose(job)):
                 self.resends -= 1
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import time
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -461,6 +462,74 @@
     run(test())
 
 
+# Guards against giving up on work that merely costs more: begun again it would cost as much.
+def test_a_request_that_takes_five_times_the_usual_is_left_alone() -> None:
+    async def test() -> None:
+        release = asyncio.Event()
+        costly: list[Message] = []
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                message = await read_message(reader)
+                if "costly" in message.headers.get("idempotency-key", ""):
+                    costly.append(message)
+                    await release.wait()
+                writer.write(http_answer(body=b"done"))
+
+        async with (
+            listening(handle) as first,
+            listening(handle) as second,
+            front_door(
+                first,
+                second,
+                tariffs__0__quota_rate="0",
+                caps__second_copies="false",
+                classes__1__dedup_scope="all",
+            ) as (door, _),
+            Client(door.server) as client,
+            Client(door.server) as other,
+        ):
+            gateway = door.host.gateway
+            asked = asyncio.ensure_future(client.ask(1, Idempotency_Key="costly"))
+            await until(lambda: costly)
+            sent = time.monotonic()
+            while time.monotonic() - sent < 0.5:
+                gateway.usual[1] = gateway.latency = 0.1
+                assert (await other.ask(1)).status == 200
+            release.set()
+            assert (await asked).status == 200
+            assert len(costly) == 1
+
+    run(test())
+
+
+# Guards against backends that take requests and answer none.
+def test_what_a_silent_backend_holds_is_sent_again_once_its_connection_has_ended() -> None:
+    async def test() -> None:
+        seen: list[Backend] = []
+
+        def serve(at: int) -> Callable[[Message], bytes | None]:
+            def answer(message: Message) -> bytes | None:
+                seen.append(backends[at])
+                return None if seen[0] is backends[at] else http_answer(body=b"done")
+
+            return answer
+
+        backends = [Backend(serve(0)), Backend(serve(1))]
+        async with (
+            listening(backends[0].handle) as first,
+            listening(backends[1].handle) as second,
+            front_door(first, second, tariffs__0__quota_rate="0", caps__second_copies="false") as (door, _),
+            Client(door.server) as client,
+        ):
+            door.host.gateway.usual[0] = door.host.gateway.latency = 0.02
+            answer = await client.ask()
+            assert (answer.status, answer.body) == (200, b"done")
+            assert len(seen) == 2 and seen[0] is not seen[1] and seen[0].open == 0
+
+    run(test())
+
+
 def test_a_second_copy_is_not_sent_where_the_settings_forbid_it() -> None:
     async def test() -> None:
         def react(event: Any) -> list[i.Action]:
