--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -353,9 +353,9 @@
             self.count(lease, owed, gives=True)
 
     def miss(self, lease: Lease, amount: float, gives: bool, added: bool) -> None:
-        """A call failed.  One without an answer most likely was added, as a crowded counter works on; for what
-        was to be taken off that is not relied on, as it would be missing until the edge.  Taken off twice,
-        the store is full sooner, and flows over.
+        """A call failed.  One without an answer most likely was added, as a crowded counter works on.  For
+        what was to be taken off that is not relied on, as it would be missing until the edge; taken off
+        twice, the store is full sooner, and flows over.
         """
         if not added:
             lease.total -= amount
