--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -379,7 +379,7 @@
         if not pending:
             del self.calls[event.name]
         good = event.outcome is Outcome.OK
-        self.judge_counter(good and event.spent < self.settings.counter_timeout / 2, good)
+        self.judge_counter(event)
         self.roll(lease)
         current = window == lease.window
         if good and current:
@@ -448,19 +448,25 @@
 
     # --- trouble at the counter ------------------------------------------------------------------
 
-    def judge_counter(self, quick: bool, good: bool) -> None:
-        """Calls are paced by their answers: up slowly, down when one fails or is slow, whatever the cause;
-        after a silence doubling back to half.  Chance failures leave more to the local shares for a while.
+    def judge_counter(self, event: i.Counted) -> None:
+        """Calls are paced by their answers: up slowly, down when one is turned away or slow, as a crowded
+        counter's are; after a silence doubling back to half.  A connection that breaks fails its calls at
+        once and says nothing of how many the counter bears, until most fail: then it is away.  Slowing down
+        for each would leave all to the local shares, where one call in twelve fails by chance.  It would do
+        harm with a counter that resets connections to say that it is full.
         """
+        good, slow = event.outcome is Outcome.OK, event.spent >= self.settings.counter_timeout / 2
         self.failing += SMOOTH * ((not good) - self.failing)
-        if quick:
+        away = self.failing > 0.5
+        if good and not slow:
             if self.pace < self.steady / 2:
                 self.pace *= 2
             elif self.budget() < 1.0:
                 self.pace *= PACE_UP
                 self.steady = max(self.steady, self.pace)
+        elif not (away or slow or event.outcome is Outcome.FULL):
+            return
         elif self.now - self.cut_at > 2 * self.settings.counter_timeout:
-            away = self.failing > 0.5
             self.pace = max(PACE_LEAST / self.peers, self.pace * PACE_CUT ** (1 + away))
             self.steady, self.cut_at = self.steady if away else self.pace, self.now
 
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -747,6 +747,26 @@
     run(test())
 
 
+# Guards the leases against connections that break: what fails at once does not tell of a crowded counter.
+def test_calls_to_a_counter_go_on_at_their_pace_while_its_connections_break() -> None:
+    async def test() -> None:
+        tally = Tally(lambda number, call: b"?\r\n" if number % 4 == 3 else None)
+        async with (
+            listening(tally.handle) as counter,
+            listening(Backend().handle) as dial,
+            front_door(dial, counter=counter) as (door, _),
+        ):
+            gateway = door.host.gateway
+            pace = gateway.pace
+            for customer in range(1, 80):
+                async with Client(door.server, customer) as client:
+                    assert (await client.ask()).status == 200
+            assert tally.opened > 6 and gateway.failing > 0
+            assert gateway.pace >= pace
+
+    run(test())
+
+
 def test_front_doors_name_a_lease_alike() -> None:
     """Lease windows follow from Unix time: with a clock of its own a front door would lease other names."""
 
