No further attempt in the last moments of a request

At fault: further() compared with the very moment at which the host times attempts out, which is a little early; now a tick must be left. Tests: loopback, 9 attempts for 8 requests before, 8 now; one for the module.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -741,7 +741,8 @@
 
     def further(self, job: Job) -> None:
         """No attempt is out and none served: try again where its class allows, else end it."""
-        more = job.attempts < self.settings.limits.max_attempts and self.now < job.end - MARGIN
+        # A host times an attempt out a little early: what is left then serves nobody.
+        more = job.attempts < self.settings.limits.max_attempts and self.now < job.end - MARGIN - TICK
         if not more or not self.allowed(job):
             self.end(job)
         elif self.missed > MISSED:
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -533,6 +533,27 @@
     run(test())
 
 
+# Guards against a handful of attempts in the last millisecond of a request, each at the cost of a connection.
+def test_an_attempt_that_ran_into_the_deadline_is_not_followed_by_others() -> None:
+    async def test() -> None:
+        silent = Backend(lambda message: None)
+        async with (
+            listening(silent.handle) as first,
+            listening(silent.handle) as second,
+            front_door(first, second, tariffs__0__quota_rate="0", caps__second_copies="false") as (door, _),
+        ):
+
+            async def ask(customer: int) -> int:
+                async with Client(door.server, customer) as client:
+                    return (await client.ask(timeout_ms=150 + customer)).status
+
+            statuses = await asyncio.gather(*(ask(customer) for customer in range(8)))
+            assert all(status != 200 for status in statuses)
+            assert len(silent.seen) == silent.opened == 8
+
+    run(test())
+
+
 # Guards against backends that take requests and answer none.
 def test_what_a_silent_backend_holds_is_sent_again_once_its_connection_has_ended() -> None:
     async def test() -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -370,6 +370,13 @@
     assert i.Fail(1) in made.handle(START + 4.0, done(1, sent, i.Outcome.TIMEOUT))
 
 
+def test_no_further_attempt_is_sent_when_a_host_times_one_out_a_little_early() -> None:
+    made = gateway(caps__second_copies="false")
+    sent = hold(made, 1)
+    found = made.handle(START + 4.0 - 0.031, done(1, sent, i.Outcome.TIMEOUT))
+    assert not sends(found) and [a for a in found if isinstance(a, i.Refuse)]
+
+
 @pytest.mark.parametrize("outcome", [i.Outcome.ERROR, i.Outcome.RESET, i.Outcome.TIMEOUT])
 def test_unsafe_requests_that_may_have_run_fail(outcome: i.Outcome) -> None:
     made = gateway()
