--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -80,9 +80,7 @@
     total: float = 0.0  # of this window's name, as last seen, with my calls that are out
     mine: float = 0.0  # what the counter confirmed of my adds to this window
     odds: float = 1.0  # share of this customer's leases that were granted
-    owed: float = (
-        0.0  # to be added yet: let in while the counter was silent, flowed over, lacking at the edge
-    )
+    owed: float = 0.0  # to be added yet: let in unasked, flowed over, lacking at the edge
     over: float = 0.0  # of the lease in flight, what the store had flowed over by
     seed: float = 0.0  # what it lacked at the edge, until it is known to be on the window's name
     lapsed: float = 0.0  # credit that lapsed there, until then
@@ -311,7 +309,8 @@
         full when the window began and fills at the rate, and all that is taken from it is on the window's
         name.  So is what it flows over by: where each gateway kept that to itself their levels drifted
         apart, one let in too much and another refused with a full store.  It does harm where a gateway
-        dies between putting too much there and taking it off again: until the edge it is missing.
+        dies between putting too much there and taking it off again: it is missing until the edge, or
+        until `see` puts it right.
         """
         since = self.now + lease.phase - lease.window * lease.length
         return lease.plan.burst + since * lease.plan.rate - lease.total - lease.owed
@@ -389,7 +388,7 @@
         if gives:
             return
         lease.waiting = False
-        if not current or (good and not lease.asked):  # the batch lapsed with its window
+        if not current or (good and not lease.asked):  # the batch lapsed with its window, or it only looked
             self.ask(lease) if lease.waiters else None
         elif good:
             self.settle(lease)
