Move the program into rooms: door for the data plane, platform for the operators' side

The issues to come add fronts, routes and a command line beside the platform's front door; one flat package has no place for them. Files are moved and imports follow, nothing else: `python -m ivymux` starts the same front door.

--- a/ivymux/host.py
+++ b/ivymux/door/host.py
@@ -10,9 +10,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ivymux.config import Address
-from ivymux.counter import Counter
-from ivymux.upstream import Attempt, Result, Upstream
+from ivymux.door.upstream import Attempt, Result, Upstream
+from ivymux.platform.config import Address
+from ivymux.platform.counter import Counter
 from orchidhill import interface as i
 from orchidhill.gateway import Gateway
 from orchidhill.interface import Outcome, State
--- a/ivymux/server.py
+++ b/ivymux/door/server.py
@@ -11,9 +11,9 @@
 
 import httptools
 
-from ivymux.config import Config
-from ivymux.host import Answer, Host, Open
-from ivymux.terms import BadRequest, Reader
+from ivymux.door.host import Answer, Host, Open
+from ivymux.platform.config import Config
+from ivymux.platform.terms import BadRequest, Reader
 from orchidhill import interface as i
 
 MOST_BODY = 64 * 1024  # bytes of a request's body, by the protocol
--- /dev/null
+++ b/ivymux/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The front door of the operators' platform: NODE_CONFIG, its terms, discovery and counter."""
--- a/ivymux/discovery.py
+++ b/ivymux/platform/discovery.py
@@ -13,7 +13,7 @@
 
 import httptools
 
-from ivymux.config import Address, ConfigError, parse_address, plain
+from ivymux.platform.config import Address, ConfigError, parse_address, plain
 from orchidhill.interface import Entry, Listing, Members, State
 
 MOST_LINE = 4 << 20  # bytes of one line; a longer one ends the watch
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -11,9 +11,9 @@
 
 import uvloop
 
-from ivymux.__main__ import FrontDoor
-from ivymux.config import Config, parse
-from ivymux.server import Server
+from ivymux.door.server import Server
+from ivymux.platform.config import Config, parse
+from ivymux.platform.frontdoor import FrontDoor
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from ivymux.config import OTHER_SOCKETS, Address, Bounds, ConfigError, parse
+from ivymux.platform.config import OTHER_SOCKETS, Address, Bounds, ConfigError, parse
 from orchidhill.wire import parse_settings
 
 from .helpers import text
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from ivymux.config import parse_address
-from ivymux.counter import DEAD_AFTER, LINES, MOST_PENDING, Counter
+from ivymux.platform.config import parse_address
+from ivymux.platform.counter import DEAD_AFTER, LINES, MOST_PENDING, Counter
 from orchidhill.interface import Count, Counted, Outcome
 
 from .sockets import Tally, listening, run, until
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,9 +8,9 @@
 
 import pytest
 
-from ivymux import discovery
-from ivymux.config import Address, parse_address
-from ivymux.discovery import Discovery, Names, backend_id
+from ivymux.platform import discovery
+from ivymux.platform.config import Address, parse_address
+from ivymux.platform.discovery import Discovery, Names, backend_id
 from orchidhill.interface import Listing, Members, State
 
 from .sockets import Agent, host_line, listening, run, until
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from ivymux.server import IDLE_TIMEOUT, MOST_BODY, MOST_HEAD, MOST_PIPELINED
+from ivymux.door.server import IDLE_TIMEOUT, MOST_BODY, MOST_HEAD, MOST_PIPELINED
 from orchidhill import interface as i
 from orchidhill.gateway import WINDOW, mix
 from orchidhill.interface import Outcome
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -12,7 +12,7 @@
 from collections.abc import AsyncIterator
 from pathlib import Path
 
-from ivymux.counter import LINES
+from ivymux.platform.counter import LINES
 
 from .sockets import (
     Agent,
