Part the data plane from the platform's protocol by an interface, Front

The server read the platform's terms and worded its answers itself, and the host knew the platform's counter. Now the data plane asks a Front for both and door imports nothing of platform.

--- /dev/null
+++ b/ivymux/door/front.py
@@ -0,0 +1,64 @@
+"""What the data plane asks of a front: what a request may ask for, and how an answer is worded."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from orchidhill import interface as i
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class BadRequest(ValueError):
+    """What a client sent can't be served; the text tells it why, `status` is the answer's."""
+
+    def __init__(self, text: str, status: int = 400, headers: Headers | None = None) -> None:
+        super().__init__(text)
+        self.status = status
+        self.headers = headers
+
+
+@dataclass(slots=True)
+class Answer:
+    """A final answer.  Without `headers` it is the front door's own, else a worker's."""
+
+    status: int
+    body: bytes = b""
+    content_type: bytes = b""
+    retry_after: float = 0.0
+    headers: Headers | None = None
+
+
+@dataclass(slots=True)
+class Call:
+    """A request that a front has taken."""
+
+    key: bytes  # no second request with it may be open; empty for none
+    end: float  # monotonic time at which its client gives up
+    make: Callable[[int], i.Request]  # the module's event, given its number
+    payload: Callable[[float], bytes]  # what goes to a backend, given the seconds that are left
+    head: bool = False  # whether answers to it have no body
+    over: Callable[[], None] | None = None  # hears when it is answered and none of its attempts is out
+
+
+class Front(Protocol):
+    """One kind of front door: the platform's, or one of ordinary HTTP."""
+
+    most_body: int  # bytes of a request's body
+    half_close: bool  # whether a client that has ended its sending is still answered
+
+    def local(self, target: bytes) -> Answer | None:
+        """The answer to a request that is the front door's own, such as its readiness."""
+
+    def take(
+        self, method: bytes, target: bytes, headers: Headers, body: list[bytes], began: float, peer: str
+    ) -> Call | Answer:
+        """The request's terms.  Raises BadRequest for what must not reach the module or a backend."""
+
+    def refusal(self, error: BadRequest) -> Answer:
+        """The answer to what could not be taken."""
+
+    def encode(self, answer: Answer, close: bool, head: bool) -> bytes:
+        """An answer as bytes; with `head` it has no body."""
--- a/ivymux/door/host.py
+++ b/ivymux/door/host.py
@@ -9,10 +9,11 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
+from ivymux.door.front import Answer, Call
+from ivymux.door.limits import Address
 from ivymux.door.upstream import Attempt, Result, Upstream
-from ivymux.platform.config import Address
-from ivymux.platform.counter import Counter
 from orchidhill import interface as i
 from orchidhill.gateway import Gateway
 from orchidhill.interface import Outcome, State
@@ -23,25 +24,14 @@
 log = logging.getLogger(__name__)
 
 
-@dataclass(slots=True)
-class Answer:
-    """A final answer.  `status` 200 serves, 503 refuses, any other fails."""
-
-    status: int
-    body: bytes = b""
-    content_type: bytes = b""
-    retry_after: float = 0.0
-
-
 @dataclass(slots=True)
 class Open:
     """A request that still needs an answer, or whose attempts are still out."""
 
     number: int
-    payload: Callable[[float], bytes]  # what goes to a backend, given the time that is left
+    call: Call
     reply: Callable[[Answer], None]
     over: Callable[[], None]  # hears when it is answered and none of its attempts is out
-    end: float  # monotonic time at which its client gives up
     guard: asyncio.TimerHandle | None = None
     out: dict[int, Attempt] = field(default_factory=dict)
     sent: int = 0
@@ -49,6 +39,12 @@
     settled: bool = False  # answered, or nobody waits any more
 
 
+class Counter(Protocol):
+    """What the host needs of a counter: each call is answered once, by a `Counted` posted to the host."""
+
+    def add(self, count: i.Count) -> None: ...
+
+
 class Host:
     def __init__(self, gateway: Gateway, upstream: Upstream) -> None:
         self.gateway, self.upstream = gateway, upstream
@@ -109,21 +105,15 @@
             self.events.append(i.Left(number))
             self.drop(request)
 
-    def request(
-        self,
-        make: Callable[[int], i.Request],
-        end: float,
-        payload: Callable[[float], bytes],
-        reply: Callable[[Answer], None],
-        over: Callable[[], None],
-    ) -> Open:
+    def request(self, call: Call, reply: Callable[[Answer], None], over: Callable[[], None]) -> Open:
+        """Take a request: `reply` gets its answer, `over` hears when none of its attempts is out either."""
         self.number += 1
-        request = Open(self.number, payload, reply, over, end)
+        request = Open(self.number, call, reply, over)
         self.table[request.number] = request
         self.waiting += 1
-        left = end - GUARD_MARGIN - time.monotonic()
+        left = call.end - GUARD_MARGIN - time.monotonic()
         request.guard = self.loop.call_later(max(0.0, left), self.overdue, request)
-        self.post(make(request.number))
+        self.post(call.make(request.number))
         return request
 
     def left(self, request: Open) -> None:
@@ -200,7 +190,7 @@
         number = request.sent if request is not None else 0
         if request is not None:
             request.sent += 1
-        left = request.end - ATTEMPT_MARGIN - time.monotonic() if request is not None else 0.0
+        left = request.call.end - ATTEMPT_MARGIN - time.monotonic() if request is not None else 0.0
         if (
             request is None
             or request.settled
@@ -218,7 +208,7 @@
         def done(result: Result) -> None:
             self.finished(request, number, action.backend, result)
 
-        attempt = self.upstream.start(action.backend, request.payload(timeout), timeout, done)
+        attempt = self.upstream.start(action.backend, request.call.payload(timeout), timeout, done)
         if not attempt.over:
             request.out[number] = attempt
 
--- a/ivymux/door/server.py
+++ b/ivymux/door/server.py
@@ -11,12 +11,10 @@
 
 import httptools
 
-from ivymux.door.host import Answer, Host, Open
-from ivymux.platform.config import Config
-from ivymux.platform.terms import BadRequest, Reader
-from orchidhill import interface as i
+from ivymux.door.front import Answer, BadRequest, Call, Front
+from ivymux.door.host import Host, Open
+from ivymux.door.limits import Address, Bounds
 
-MOST_BODY = 64 * 1024  # bytes of a request's body, by the protocol
 MOST_HEAD = 16 * 1024
 MOST_STRAY = 1024  # bytes, such as empty lines, that belong to no request
 MOST_PIPELINED = 4  # requests on one connection that wait for their answers
@@ -29,39 +27,19 @@
 FLOOD = 1 << 20  # bytes read of a client that is being turned away, after which it has to pause
 FLOOD_PAUSE = 0.01
 
-REASONS = {
-    200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
-    413: "Content Too Large", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
-}  # fmt: skip
-HOP_BY_HOP = frozenset(
-    b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer"
-    b" transfer-encoding upgrade expect content-length request-timeout".split()
-)
-
 log = logging.getLogger(__name__)
 
 
-def encode(answer: Answer, close: bool) -> bytes:
-    head = f"HTTP/1.1 {answer.status} {REASONS[answer.status]}\r\nContent-Length: {len(answer.body)}\r\n"
-    if answer.retry_after > 0:
-        head += f"Retry-After: {answer.retry_after:.3f}\r\n"
-    if close:
-        head += "Connection: close\r\n"
-    if answer.content_type:
-        return head.encode() + b"Content-Type: " + answer.content_type + b"\r\n\r\n" + answer.body
-    return head.encode() + b"\r\n" + answer.body
-
-
 class Exchange:
     """One request on a client's connection and its answer, which waits for those before it."""
 
-    __slots__ = ("answer", "client", "held", "keep_alive", "request", "request_id")
+    __slots__ = ("answer", "call", "client", "held", "keep_alive", "request")
 
     def __init__(self, client: Client, keep_alive: bool) -> None:
         self.client, self.keep_alive = client, keep_alive
         self.answer: Answer | None = None
         self.request: Open | None = None
-        self.request_id = b""  # while it is open
+        self.call: Call | None = None
         self.held = 0
 
     def reply(self, answer: Answer) -> None:
@@ -73,7 +51,10 @@
         server = self.client.server
         server.held -= self.held
         self.held = 0
-        server.ids.discard(self.request_id)
+        if (call := self.call) is not None:
+            server.ids.discard(call.key)
+            if call.over is not None:
+                call.over()
 
 
 class Client(asyncio.Protocol):
@@ -89,6 +70,7 @@
         self.began = 0.0  # when the request that is coming in began
         self.arriving = False
         self.broken = False  # nothing more is read as a request
+        self.peer = ""  # the client's address
         self.stray = 0
         self.held = 0  # bytes of a body that is coming in
         self.clear()
@@ -112,6 +94,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's are not its subclasses
         self.transport = transport
+        name = transport.get_extra_info("peername")
+        self.peer = name[0] if name else ""
         self.stand(self.server.fresh)
         self.server.add(self)
 
@@ -178,7 +162,7 @@
     def on_headers_complete(self) -> None:
         self.headed = True
         for name, value in self.headers:
-            if name == b"content-length" and int(value) > MOST_BODY:
+            if name == b"content-length" and int(value) > self.server.front.most_body:
                 raise BadRequest("body too large", 413)
             if name == b"expect" and value.lower() == b"100-continue" and self.transport and not self.pending:
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -186,7 +170,7 @@
     def on_body(self, body: bytes) -> None:
         self.held += len(body)
         self.server.held += len(body)
-        if self.held > MOST_BODY:
+        if self.held > self.server.front.most_body:
             raise BadRequest("body too large", 413)
         if self.server.held > self.server.most_held:
             raise BadRequest("too much is held", 503)  # nothing has run: memory is bounded
@@ -204,7 +188,7 @@
             self.take(exchange)
         except BadRequest as error:
             exchange.keep_alive = False  # its descriptor is of use to others
-            exchange.reply(self.answer(error))
+            exchange.reply(self.server.front.refusal(error))
         except Exception:
             log.exception("a request could not be taken")
             if exchange.answer is None:
@@ -213,51 +197,37 @@
 
     def take(self, exchange: Exchange) -> None:
         server = self.server
-        if self.url == b"/-/ready":
-            exchange.reply(Answer(200 if server.ready() else 503))
+        if (answer := server.front.local(self.url)) is not None:
+            exchange.reply(answer)
             return
         if len(server.clients) > server.most_clients:
             exchange.keep_alive = False
-            exchange.reply(Answer(503, retry_after=1.0))
+            exchange.reply(server.front.refusal(BadRequest("too many connections", 503)))
             return
-        method = self.parser.get_method()
-        terms = server.terms.read(method, self.url, self.headers)
-        if terms.request_id in server.ids:
-            raise BadRequest("this Request-Id is open", 409)
-        server.ids.add(terms.request_id)
-        exchange.request_id = terms.request_id
-        exchange.held, self.held = self.held, 0
-        end = self.began + terms.timeout
-        body = b"".join(self.body)
-        head = b"%s %s HTTP/1.1\r\n" % (method, self.url) + b"".join(
-            b"%s: %s\r\n" % pair for pair in self.headers if pair[0] not in HOP_BY_HOP
+        call = server.front.take(
+            self.parser.get_method(), self.url, self.headers, self.body, self.began, self.peer
         )
-        if method == b"POST" or body:
-            head += b"Content-Length: %d\r\n" % len(body)
-
-        def payload(left: float) -> bytes:
-            return b"%sRequest-Timeout: %dm\r\n\r\n%s" % (head, max(1, int(left * 1000)), body)
-
-        def make(request: int) -> i.Request:
-            return i.Request(
-                request, terms.cls, terms.plan, terms.customer, end - time.monotonic(), terms.units,
-                terms.spread, terms.first, terms.is_retry, method == b"POST",
-            )  # fmt: skip
-
-        exchange.request = server.host.request(make, end, payload, exchange.reply, exchange.release)
+        if isinstance(call, Answer):
+            exchange.reply(call)
+            return
+        if call.key:
+            if call.key in server.ids:
+                raise BadRequest("this Request-Id is open", 409)
+            server.ids.add(call.key)
+        exchange.call = call
+        exchange.held, self.held = self.held, 0
+        exchange.request = server.host.request(call, exchange.reply, exchange.release)
 
     # --- writing -----------------------------------------------------------------------------------
 
-    def answer(self, error: BadRequest) -> Answer:
-        return Answer(error.status, f"{error}\n".encode(), retry_after=1.0 if error.status == 503 else 0.0)
-
     def flush(self) -> None:
         while self.pending and (answer := self.pending[0].answer) is not None:
             exchange = self.pending.popleft()
             if self.transport is None or self.transport.is_closing():
                 continue
             close = not exchange.keep_alive or (self.server.stopping and not self.pending)
-            self.transport.write(encode(answer, close))
+            head = exchange.call is not None and exchange.call.head
+            self.transport.write(self.server.front.encode(answer, close, head))
             if close:
                 self.end()
                 return
@@ -282,7 +252,7 @@
                 self.stand(None)  # the answers before it have their own time limits
             exchange = Exchange(self, keep_alive=False)
             self.pending.append(exchange)
-            exchange.reply(self.answer(error))
+            exchange.reply(self.server.front.refusal(error))
 
     def end(self) -> None:
         """End sending; read on for a moment, as a reset on unread bytes could overtake the answer."""
@@ -302,13 +272,11 @@
 
 
 class Server:
-    def __init__(self, config: Config, host: Host) -> None:
-        self.settings, self.host = config.settings, host
-        self.listen = config.listen
-        self.most_clients, self.surplus = config.bounds.clients, config.bounds.surplus
-        self.most_held = config.bounds.held  # bytes of bodies; beyond it requests are refused
+    def __init__(self, front: Front, listen: Address, bounds: Bounds, host: Host) -> None:
+        self.front, self.listen, self.host = front, listen, host
+        self.most_clients, self.surplus = bounds.clients, bounds.surplus
+        self.most_held = bounds.held  # bytes of bodies; beyond it requests are refused
         self.loop = asyncio.get_running_loop()
-        self.terms = Reader(config.settings, config.most_units)
         self.clients: set[Client] = set()
         # Waiting lines, the longest wait first: before a first request is whole, between requests, while
         # one comes in, and after the last answer.  Who waits for an answer is in none.
@@ -327,9 +295,6 @@
             lambda: Client(self), self.listen.host, self.listen.port, backlog=1024
         )
 
-    def ready(self) -> bool:
-        return not self.stopping and bool(self.host.upstream.pools)
-
     def add(self, client: Client) -> None:
         self.clients.add(client)
         if len(self.clients) <= self.most_clients:
--- a/ivymux/door/upstream.py
+++ b/ivymux/door/upstream.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from ivymux.platform.config import Address
+from ivymux.door.limits import Address
 from orchidhill.interface import Outcome
 
 MOST_BODY = 64 * 1024  # of an answer, by the protocol
--- a/ivymux/platform/config.py
+++ b/ivymux/platform/config.py
@@ -7,38 +7,10 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ivymux.door.limits import Address, Bounds, ConfigError, parse_address
 from orchidhill import interface as i
 from orchidhill.wire import SettingsError, parse_settings
 
-OTHER_SOCKETS = 28  # descriptors kept for discovery, the counter (both may be moving), the loop and the log
-HELD_PART = 1 / 8  # of the memory, for the bodies of requests
-
-
-class ConfigError(ValueError):
-    """A configuration that cannot be served; the text is one plain line."""
-
-
-@dataclass(slots=True, frozen=True)
-class Address:
-    host: str
-    port: int
-
-
-@dataclass(slots=True, frozen=True)
-class Bounds:
-    """What the process may hold, from the configuration's limits."""
-
-    clients: int  # client connections
-    surplus: int  # and above those, that are still answered, with a refusal
-    upstream: int  # connections to backends
-    held: int  # bytes of requests' bodies
-
-    @classmethod
-    def of(cls, sockets: int, memory_mb: float) -> Bounds:
-        surplus = max(8, sockets // 16)
-        left = sockets - OTHER_SOCKETS - surplus
-        return cls(left // 2, surplus, left - left // 2, int(memory_mb * HELD_PART * (1 << 20)))
-
 
 @dataclass(slots=True, frozen=True)
 class Config:
@@ -55,13 +27,6 @@
     conn_idle: float  # seconds after which a backend closes an idle connection
 
 
-def parse_address(text: object) -> Address:
-    host, sep, port = str(text).rpartition(":")
-    if not (sep and host and port.isascii() and port.isdigit() and 0 <= int(port) < 65536):
-        raise ConfigError(f"not an address of the form HOST:PORT: {text!r}")
-    return Address(host, int(port))
-
-
 def plain(value: object) -> str:
     """A value as the settings text writes it."""
     if isinstance(value, bool):
--- a/ivymux/platform/counter.py
+++ b/ivymux/platform/counter.py
@@ -12,7 +12,7 @@
 
 import hiredis
 
-from ivymux.platform.config import Address
+from ivymux.door.limits import Address
 from orchidhill.interface import Count, Counted, Outcome
 
 LINES = 4  # connections; the counter holds 32 of a front door
--- a/ivymux/platform/discovery.py
+++ b/ivymux/platform/discovery.py
@@ -13,7 +13,8 @@
 
 import httptools
 
-from ivymux.platform.config import Address, ConfigError, parse_address, plain
+from ivymux.door.limits import Address, ConfigError, parse_address
+from ivymux.platform.config import plain
 from orchidhill.interface import Entry, Listing, Members, State
 
 MOST_LINE = 4 << 20  # bytes of one line; a longer one ends the watch
--- /dev/null
+++ b/ivymux/platform/front.py
@@ -0,0 +1,69 @@
+"""The platform's protocol at the front door: terms in headers, plain answers."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+from ivymux.door.front import Answer, BadRequest, Call, Headers
+from ivymux.platform.terms import Reader
+from orchidhill import interface as i
+
+MOST_BODY = 64 * 1024  # bytes of a request's body, by the protocol
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 408: "Request Timeout", 409: "Conflict",
+    413: "Content Too Large", 502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
+}  # fmt: skip
+HOP_BY_HOP = frozenset(
+    b"connection keep-alive proxy-connection proxy-authenticate proxy-authorization te trailer"
+    b" transfer-encoding upgrade expect content-length request-timeout".split()
+)
+
+
+class PlatformFront:
+    """Requests and answers as the platform's protocol page has them."""
+
+    most_body = MOST_BODY
+    half_close = False
+
+    def __init__(self, terms: Reader, ready: Callable[[], bool]) -> None:
+        self.terms, self.ready = terms, ready
+
+    def local(self, target: bytes) -> Answer | None:
+        return Answer(200 if self.ready() else 503) if target == b"/-/ready" else None
+
+    def take(
+        self, method: bytes, target: bytes, headers: Headers, body: list[bytes], began: float, peer: str
+    ) -> Call | Answer:
+        terms = self.terms.read(method, target, headers)
+        end = began + terms.timeout
+        content = b"".join(body)
+        head = b"%s %s HTTP/1.1\r\n" % (method, target) + b"".join(
+            b"%s: %s\r\n" % pair for pair in headers if pair[0] not in HOP_BY_HOP
+        )
+        if method == b"POST" or content:
+            head += b"Content-Length: %d\r\n" % len(content)
+
+        def payload(left: float) -> bytes:
+            return b"%sRequest-Timeout: %dm\r\n\r\n%s" % (head, max(1, int(left * 1000)), content)
+
+        def make(request: int) -> i.Request:
+            return i.Request(
+                request, terms.cls, terms.plan, terms.customer, end - time.monotonic(), terms.units,
+                terms.spread, terms.first, terms.is_retry, method == b"POST",
+            )  # fmt: skip
+
+        return Call(terms.request_id, end, make, payload)
+
+    def refusal(self, error: BadRequest) -> Answer:
+        return Answer(error.status, f"{error}\n".encode(), retry_after=1.0 if error.status == 503 else 0.0)
+
+    def encode(self, answer: Answer, close: bool, head: bool) -> bytes:
+        top = f"HTTP/1.1 {answer.status} {REASONS[answer.status]}\r\nContent-Length: {len(answer.body)}\r\n"
+        if answer.retry_after > 0:
+            top += f"Retry-After: {answer.retry_after:.3f}\r\n"
+        if close:
+            top += "Connection: close\r\n"
+        if answer.content_type:
+            return top.encode() + b"Content-Type: " + answer.content_type + b"\r\n\r\n" + answer.body
+        return top.encode() + b"\r\n" + answer.body
--- a/ivymux/platform/frontdoor.py
+++ b/ivymux/platform/frontdoor.py
@@ -14,11 +14,14 @@
 import uvloop
 
 from ivymux.door.host import Host
+from ivymux.door.limits import ConfigError
 from ivymux.door.server import Server
 from ivymux.door.upstream import Upstream
-from ivymux.platform.config import Config, ConfigError, load
+from ivymux.platform.config import Config, load
 from ivymux.platform.counter import Counter
 from ivymux.platform.discovery import Discovery, Names
+from ivymux.platform.front import PlatformFront
+from ivymux.platform.terms import Reader
 from orchidhill.gateway import Gateway
 
 COUNTER_WAIT = 0.3  # seconds that the start waits for the counter's connections
@@ -55,8 +58,9 @@
             settings.limits.connect_timeout, config.conn_idle, settings.report_columns, config.bounds.upstream
         )
         host = self.host = Host(Gateway(settings, config.seed), upstream)
+        self.counter: Counter | None = None
         if settings.has_counter and config.counter is not None:
-            host.counter = Counter(config.counter, settings.counter_timeout, host.post)
+            self.counter = host.counter = Counter(config.counter, settings.counter_timeout, host.post)
         names = Names(settings.zones, config.kinds)
         if config.known:
             try:
@@ -65,13 +69,17 @@
                 raise ConfigError(f"known: {type(error).__name__}: {error}") from None
             host.members(members, addresses)
         self.discovery = Discovery(config.discovery, names, host.members)
-        self.server = Server(config, host)
+        front = PlatformFront(Reader(settings, config.most_units), self.ready)
+        self.server = Server(front, config.listen, config.bounds, host)
         # SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more after SIGTERM.
         self.drain_time = min(3.0, max((c.deadline for c in settings.classes), default=3.0)) + 0.4
 
+    def ready(self) -> bool:
+        return not self.server.stopping and bool(self.host.upstream.pools)
+
     async def start(self) -> None:
-        if self.host.counter is not None:
-            await asyncio.wait([self.host.counter.ready], timeout=COUNTER_WAIT)
+        if self.counter is not None:
+            await asyncio.wait([self.counter.ready], timeout=COUNTER_WAIT)
         await self.server.start()
 
     def reload(self, env: Mapping[str, str]) -> None:
@@ -86,8 +94,8 @@
         if (config.settings, config.listen) != (self.config.settings, self.config.listen):
             log.warning("other settings or another address to listen on need a restart")
         self.discovery.move(config.discovery)
-        if self.host.counter is not None and config.counter is not None:
-            self.host.counter.move(config.counter)
+        if self.counter is not None and config.counter is not None:
+            self.counter.move(config.counter)
 
     async def drain(self) -> None:
         """Serve on while clients still come, then finish what is held, in time for all of it."""
@@ -103,8 +111,8 @@
         self.server.close()
         await asyncio.sleep(0.05)  # the last answers leave
         self.discovery.close()
-        if self.host.counter is not None:
-            self.host.counter.close()
+        if self.counter is not None:
+            self.counter.close()
         self.host.upstream.close()
 
 
--- a/ivymux/platform/terms.py
+++ b/ivymux/platform/terms.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from urllib.parse import parse_qsl
 
+from ivymux.door.front import BadRequest
 from orchidhill import interface as i
 from orchidhill.interface import Effect
 
@@ -25,12 +26,6 @@
 PLACE = re.compile(r"\d{1,9}", re.ASCII)
 
 
-class BadRequest(ValueError):
-    def __init__(self, text: str, status: int = 400) -> None:
-        super().__init__(text)
-        self.status = status
-
-
 @dataclass(slots=True, frozen=True)
 class Terms:
     request_id: bytes
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from ivymux.platform.config import OTHER_SOCKETS, Address, Bounds, ConfigError, parse
+from ivymux.door.limits import OTHER_SOCKETS, Address, Bounds, ConfigError
+from ivymux.platform.config import parse
 from orchidhill.wire import parse_settings
 
 from .helpers import text
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from ivymux.platform.config import parse_address
+from ivymux.door.limits import parse_address
 from ivymux.platform.counter import DEAD_AFTER, LINES, MOST_PENDING, Counter
 from orchidhill.interface import Count, Counted, Outcome
 
