--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: `python -m bench.AREA [--quick] [--json FILE|-]`."""
--- /dev/null
+++ b/ivymux/routes/text.py
@@ -0,0 +1,182 @@
+"""JSON and YAML text as plain values, with bounds on depth and unfolded size."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import yaml
+
+MOST_BYTES = 64 << 20  # of one file
+MOST_DEPTH = 200
+MOST_NODES = 6_000_000  # with aliases unfolded
+BOOLEANS = {"true": True, "True": True, "TRUE": True, "false": False, "False": False, "FALSE": False}
+
+
+class TextError(ValueError):
+    """Text that is neither; `place` is line and column where they are known."""
+
+    def __init__(self, text: str, line: int = 0, column: int = 0) -> None:
+        super().__init__(f"line {line}, column {column}: {text}" if line else text)
+
+
+def pairs(items: list[tuple[str, Any]]) -> dict[str, Any]:
+    made = dict(items)
+    if len(made) != len(items):
+        seen: set[str] = set()
+        for key, _ in items:
+            if key in seen:
+                raise TextError(f"the key {key[:80]!r} stands twice in one object")
+            seen.add(key)
+    return made
+
+
+def no_constant(name: str) -> Any:
+    raise TextError(f"{name} is not a JSON number")
+
+
+def parse_json(text: str) -> Any:
+    try:
+        value = json.loads(text, object_pairs_hook=pairs, parse_constant=no_constant)
+    except json.JSONDecodeError as error:
+        raise TextError(error.msg, error.lineno, error.colno) from None
+    except RecursionError:
+        raise TextError("nested too deeply") from None
+    except ValueError as error:
+        raise error if isinstance(error, TextError) else TextError(str(error)) from None
+    return value
+
+
+class Loader(yaml.CSafeLoader):
+    """YAML 1.2's core schema of JSON types: no dates, and yes, no, on and off are words."""
+
+    yaml_implicit_resolvers = {  # noqa: RUF012  # PyYAML's own way to set it
+        first: [(tag, regexp) for tag, regexp in found if tag.rsplit(":", 1)[1] in ("null", "int", "float")]
+        for first, found in yaml.CSafeLoader.yaml_implicit_resolvers.items()
+    }
+
+    def flatten_mapping(self, node: yaml.MappingNode) -> None:
+        """No merge keys: they are not of YAML 1.2, and a `<<` would be one more way to hide a class."""
+
+
+def construct_mapping(loader: Loader, node: yaml.MappingNode) -> dict[str, Any]:
+    made: dict[str, Any] = {}
+    for key_node, value_node in node.value:
+        key = key_node.value if isinstance(key_node, yaml.ScalarNode) else None
+        mark = key_node.start_mark
+        if key is None:
+            raise TextError("a key is not plain text", mark.line + 1, mark.column + 1)
+        if key in made:
+            raise TextError(f"the key {key[:80]!r} stands twice", mark.line + 1, mark.column + 1)
+        made[key] = loader.construct_object(value_node, deep=True)
+    return made
+
+
+def construct_scalar(loader: Loader, node: yaml.ScalarNode) -> Any:
+    if node.style is None and node.value in BOOLEANS:
+        return BOOLEANS[node.value]
+    return loader.construct_scalar(node)
+
+
+Loader.add_constructor("tag:yaml.org,2002:map", construct_mapping)
+Loader.add_constructor("tag:yaml.org,2002:str", construct_scalar)
+
+
+def measure(root: yaml.Node) -> None:
+    """Refuse what unfolds beyond the bounds, or into itself, before a value is made of it."""
+    sizes: dict[int, int] = {}
+    depths: dict[int, int] = {}
+    open_nodes: set[int] = set()
+    stack: list[tuple[yaml.Node, bool]] = [(root, False)]
+    while stack:
+        node, done = stack.pop()
+        children: list[yaml.Node] = []
+        if isinstance(node, yaml.MappingNode):
+            children = [part for pair in node.value for part in pair]
+        elif isinstance(node, yaml.SequenceNode):
+            children = node.value
+        mark = node.start_mark
+        if done:
+            open_nodes.discard(id(node))
+            sizes[id(node)] = 1 + sum(sizes[id(child)] for child in children)
+            depths[id(node)] = 1 + max((depths[id(child)] for child in children), default=0)
+            if sizes[id(node)] > MOST_NODES or depths[id(node)] > MOST_DEPTH:
+                raise TextError("unfolds to more than can be read", mark.line + 1, mark.column + 1)
+        elif id(node) in open_nodes:
+            raise TextError("an alias holds itself", mark.line + 1, mark.column + 1)
+        elif id(node) not in sizes:
+            if not children:
+                sizes[id(node)] = depths[id(node)] = 1
+                continue
+            open_nodes.add(id(node))
+            stack.append((node, True))
+            for child in children:
+                if id(child) in open_nodes:
+                    raise TextError("an alias holds itself", mark.line + 1, mark.column + 1)
+                if id(child) not in sizes:
+                    stack.append((child, False))
+
+
+def events_in_bounds(text: str) -> None:
+    """Depth first, from the parser's events: composing a node recurses for each level."""
+    depth = 0
+    for count, event in enumerate(yaml.parse(text, Loader=Loader)):
+        if isinstance(event, yaml.CollectionStartEvent):
+            depth += 1
+            if depth > MOST_DEPTH:
+                mark = event.start_mark
+                raise TextError(
+                    "nested too deeply", mark.line + 1 if mark else 0, mark.column + 1 if mark else 0
+                )
+        elif isinstance(event, yaml.CollectionEndEvent):
+            depth -= 1
+        if count > MOST_NODES:
+            raise TextError("more than can be read")
+
+
+def parse_yaml(text: str) -> Any:
+    try:
+        events_in_bounds(text)
+        loader = Loader(text)
+        try:
+            root = loader.get_single_node()
+            if root is None:
+                raise TextError("the file is empty")
+            measure(root)
+            return loader.construct_document(root)
+        finally:
+            loader.dispose()
+    except yaml.MarkedYAMLError as error:
+        mark = error.problem_mark
+        problem = " ".join(str(error.problem or "not YAML").split())
+        raise TextError(problem, mark.line + 1 if mark else 0, mark.column + 1 if mark else 0) from None
+    except yaml.YAMLError as error:
+        raise TextError(" ".join(str(error).split())[:200]) from None
+    except (RecursionError, OverflowError):
+        raise TextError("nested too deeply") from None
+    except ValueError as error:
+        raise error if isinstance(error, TextError) else TextError(str(error)) from None
+
+
+def parse(data: bytes) -> Any:
+    """The value of a JSON or YAML text in UTF-8, with or without a byte order mark.  Raises TextError."""
+    if len(data) > MOST_BYTES:
+        raise TextError(f"larger than {MOST_BYTES >> 20} MiB")
+    try:
+        text = data.decode("utf-8-sig")
+    except UnicodeDecodeError as error:
+        line = data.count(b"\n", 0, error.start) + 1
+        column = error.start - (data.rfind(b"\n", 0, error.start) + 1) + 1
+        raise TextError("not UTF-8", line, column) from None
+    if text.lstrip()[:1] in ("{", "["):
+        try:
+            return parse_json(text)
+        except TextError:
+            if len(data) > 1 << 20:
+                raise  # flow YAML may begin so too, but no file of that size does
+            try:
+                return parse_yaml(text)
+            except TextError:
+                pass
+            raise
+    return parse_yaml(text)
