Module: classes may change in service, and a refusal tells whether it is the quota

A description that changes brings other classes; the module's were fixed at its start. The event Classes replaces the list: an open request keeps the class it came with, and a number that goes to another class forgets its latencies and silences. Refuse.beyond lets an ordinary front answer 429 for a used-up quota and 503 for the rest. Tests: an unsafe request under a number that becomes safe is failed after a reset, never sent again.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -9,7 +9,7 @@
 import math
 import random
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 
 from orchidhill import interface as i
@@ -180,9 +180,23 @@
                 self.on_members(event)
             case i.Left():
                 self.close(self.jobs.get(event.request))
+            case i.Classes():
+                self.on_classes(event.classes)
         self.set_timer()
         return self.actions
 
+    def on_classes(self, classes: tuple[i.RequestClass, ...]) -> None:
+        """What was learned under a number goes when another class has it; open jobs keep their class."""
+        self.usual += [FIRST_LATENCY] * (len(classes) - len(self.usual))
+        for number, (was, cls) in enumerate(zip(self.settings.classes, classes, strict=False)):
+            if cls != was:
+                self.usual[number] = FIRST_LATENCY
+                for backend in self.backends.values():
+                    backend.heard.pop(number, None)
+                    backend.silent.pop(number, None)
+        self.settings = replace(self.settings, classes=classes)
+        self.aim = min((c.aim for c in classes), default=1.0)
+
     # --- admission by lease (GALE) ---------------------------------------------------------------
 
     def on_request(self, req: i.Request) -> None:
@@ -224,7 +238,7 @@
             if self.ripe(lease) + EPS >= units and not lease.waiters:
                 self.spend(lease, job, units)
             elif self.now < lease.denied_until:
-                self.refuse(job, lease.denied_until - self.now)
+                self.refuse(job, lease.denied_until - self.now, beyond=True)
             elif (lease.waiting or self.may_call()) and not self.calm(lease, units):
                 lease.waiters.append(job)
                 self.ask(lease)
@@ -439,7 +453,7 @@
             lease.denied_until = self.now + wait
             refused, lease.waiters = lease.waiters, deque()
             for job in (job for job in refused if not job.closed):
-                self.refuse(job, lease.denied_until - self.now)
+                self.refuse(job, lease.denied_until - self.now, beyond=True)
         elif lease.waiters:
             self.ask(lease)
         for job in ready:
@@ -759,10 +773,10 @@
             self.close(job)
             self.actions.append(i.Fail(job.req.request))
 
-    def refuse(self, job: Job, retry_after: float) -> None:
+    def refuse(self, job: Job, retry_after: float, beyond: bool = False) -> None:
         self.close(job)
         most = self.settings.limits.max_retry_after  # told also where clients at large do not heed it
-        self.actions.append(i.Refuse(job.req.request, min(max(0.0, retry_after), most)))
+        self.actions.append(i.Refuse(job.req.request, min(max(0.0, retry_after), most), beyond))
 
     def close(self, job: Job | None) -> None:
         """Late or repeated news changes nothing.  A slot is in use until the last attempt is over."""
--- a/orchidhill/interface.py
+++ b/orchidhill/interface.py
@@ -217,6 +217,13 @@
     report: tuple[float, ...]
 
 
+@dataclass(slots=True)
+class Classes:
+    """The request classes from now on, never fewer.  Open requests keep the class that they came with."""
+
+    classes: tuple[RequestClass, ...]
+
+
 @dataclass(slots=True)
 class PeerSays:
     source: int
@@ -233,7 +240,7 @@
     spent: float
 
 
-Event = Members | Request | UnderWay | Finished | Left | Fired | Probed | PeerSays | Counted
+Event = Members | Request | UnderWay | Finished | Left | Fired | Probed | PeerSays | Counted | Classes
 
 
 @dataclass(slots=True)
@@ -247,8 +254,11 @@
 
 @dataclass(slots=True)
 class Refuse:
+    """Refuse a request; ``beyond`` says that it is its customer's quota that is used up."""
+
     request: int
     retry_after: float
+    beyond: bool = False
 
 
 @dataclass(slots=True)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 from collections import deque
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings
@@ -627,3 +628,34 @@
     made.handle(START + 61, done(1, held, i.Outcome.OK, closed=True))
     made.handle(START + 200, i.Fired(1))
     assert not made.leases
+
+
+def test_other_classes_leave_open_requests_theirs_and_begin_anew() -> None:
+    made, counter = gateway(), Counter()
+    unsafe = made.settings.classes[2]
+    (send,) = sends(play(made, counter, START, request(1, cls=2)))
+    made.usual[2] = 9.0
+    made.backends[send.backend].silent[2] = START
+    # The number of the unsafe class goes to a safe one, and a fourth class comes.
+    safe = replace(unsafe, name="other", effect=i.Effect.SAFE)
+    made.handle(START + 0.1, i.Classes((*made.settings.classes[:2], safe, unsafe)))
+    assert made.usual[2] == FIRST_LATENCY and len(made.usual) == 4
+    assert 2 not in made.backends[send.backend].silent
+    # The request came in as an unsafe one: after a reset it is failed, never sent again nor refused.
+    actions = play(made, counter, START + 0.2, done(1, send, i.Outcome.RESET))
+    assert not sends(actions) and i.Fail(1) in actions
+    # One that comes now under the same number is safe, under the new number unsafe.
+    (send,) = sends(play(made, counter, START + 0.3, request(2, cls=2)))
+    assert sends(play(made, counter, START + 0.4, done(2, send, i.Outcome.RESET)))
+    (send,) = sends(play(made, counter, START + 0.5, request(3, cls=3)))
+    assert i.Fail(3) in play(made, counter, START + 0.6, done(3, send, i.Outcome.RESET))
+
+
+def test_a_refusal_tells_whether_it_is_the_quota() -> None:
+    made, counter = gateway(), Counter()
+    refused = []
+    for number in range(1, 40):
+        refused += [a for a in play(made, counter, START, request(number)) if isinstance(a, i.Refuse)]
+    assert refused and all(r.beyond for r in refused)
+    late = made.handle(START, request(99, left=0.01))
+    assert [a.beyond for a in late if isinstance(a, i.Refuse)] == [False]
