Data plane: whole answers of ordinary HTTP, half-closed clients, unread answers

A front door beside the platform must pass a worker's status and headers on, end an answer that has no body where its head ends (HEAD, 204, 304), relay a worker's own error once no attempt is left, and still answer a client that has ended its sending. What an answer means is decided in door/style.py, pure; the platform's style is as it was (its tests pass unchanged). Bytes of answers that come in and clients that leave theirs unread are bounded.

--- a/bench/descriptions.py
+++ b/bench/descriptions.py
@@ -6,10 +6,32 @@
 import random
 from typing import Any
 
-WORDS = (
-    "meetings minutes recordings drafts members groups rooms agendas motions votes councils boards notes"
-    " transcripts speakers actions documents archives exports calendars invites notices forms reports"
-).split()
+WORDS = [
+    "meetings",
+    "minutes",
+    "recordings",
+    "drafts",
+    "members",
+    "groups",
+    "rooms",
+    "agendas",
+    "motions",
+    "votes",
+    "councils",
+    "boards",
+    "notes",
+    "transcripts",
+    "speakers",
+    "actions",
+    "documents",
+    "archives",
+    "exports",
+    "calendars",
+    "invites",
+    "notices",
+    "forms",
+    "reports",
+]
 
 
 def large(operations: int, weight: int = 0, seed: int = 1) -> dict[str, Any]:
@@ -40,9 +62,7 @@
                 "responses": {
                     "200": {
                         "description": "done",
-                        "content": {
-                            "application/json": {"schema": {"$ref": f"#/components/schemas/{name}"}}
-                        },
+                        "content": {"application/json": {"schema": {"$ref": f"#/components/schemas/{name}"}}},
                     }
                 },
             }
--- a/ivymux/door/front.py
+++ b/ivymux/door/front.py
@@ -40,6 +40,7 @@
     make: Callable[[int], i.Request]  # the module's event, given its number
     payload: Callable[[float], bytes]  # what goes to a backend, given the seconds that are left
     head: bool = False  # whether answers to it have no body
+    name: bytes = b""  # the request's id, as its answers tell it
     over: Callable[[], None] | None = None  # hears when it is answered and none of its attempts is out
 
 
@@ -48,6 +49,7 @@
 
     most_body: int  # bytes of a request's body
     half_close: bool  # whether a client that has ended its sending is still answered
+    most_unread: int  # clients that may leave answers unread; more of them make the first give way
 
     def local(self, target: bytes) -> Answer | None:
         """The answer to a request that is the front door's own, such as its readiness."""
@@ -60,5 +62,5 @@
     def refusal(self, error: BadRequest) -> Answer:
         """The answer to what could not be taken."""
 
-    def encode(self, answer: Answer, close: bool, head: bool) -> bytes:
-        """An answer as bytes; with `head` it has no body."""
+    def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
+        """An answer as bytes; `call` is what it answers, where that was taken."""
--- a/ivymux/door/host.py
+++ b/ivymux/door/host.py
@@ -36,6 +36,7 @@
     out: dict[int, Attempt] = field(default_factory=dict)
     sent: int = 0
     may_have_run: bool = False
+    last: Result | None = None  # of the attempt that ended last
     settled: bool = False  # answered, or nobody waits any more
 
 
@@ -47,7 +48,7 @@
 
 class Host:
     def __init__(self, gateway: Gateway, upstream: Upstream) -> None:
-        self.gateway, self.upstream = gateway, upstream
+        self.gateway, self.upstream, self.style = gateway, upstream, upstream.style
         self.counter: Counter | None = None
         self.limits = gateway.settings.limits
         self.loop = asyncio.get_running_loop()
@@ -164,9 +165,10 @@
                 else:
                     self.counter.add(action)
             case i.Refuse():
-                self.end(action.request, Answer(503, retry_after=action.retry_after))
+                status = self.style.refused(action.beyond)
+                self.end(action.request, Answer(status, retry_after=action.retry_after))
             case i.Fail():
-                self.end(action.request, Answer(502))
+                self.end(action.request, None)
             case i.Cancel():
                 request = self.table.get(action.request)
                 if request is not None and (attempt := request.out.get(action.attempt)) is not None:
@@ -208,16 +210,20 @@
         def done(result: Result) -> None:
             self.finished(request, number, action.backend, result)
 
-        attempt = self.upstream.start(action.backend, request.call.payload(timeout), timeout, done)
+        attempt = self.upstream.start(
+            action.backend, request.call.payload(timeout), timeout, done, request.call.head
+        )
         if not attempt.over:
             request.out[number] = attempt
 
     def finished(self, request: Open, number: int, backend: int, result: Result) -> None:
         request.out.pop(number, None)
+        request.last = result
         if not result.outcome.never_ran:
             request.may_have_run = True
         if result.outcome is Outcome.OK and not request.settled:
-            self.settle(request, Answer(200, result.body, result.content_type))
+            status = result.status or 200
+            self.settle(request, Answer(status, result.body, result.content_type, headers=result.headers))
         closed = request.settled
         self.post(
             i.Finished(
@@ -226,9 +232,15 @@
         )
         self.drop(request)
 
-    def end(self, number: int, answer: Answer) -> None:
+    def end(self, number: int, refusal: Answer | None) -> None:
+        """Refuse or fail a request; what its worker said last goes before a wording of our own."""
         request = self.table.get(number)
         if request is not None and not request.settled:
+            last = request.last
+            if last is not None and last.outcome is Outcome.ERROR and last.status:
+                answer = Answer(last.status, last.body, last.content_type, headers=last.headers)
+            else:
+                answer = refusal or Answer(self.style.failed(last.outcome if last is not None else None))
             self.settle(request, answer)
             self.drop(request)
 
--- a/ivymux/door/server.py
+++ b/ivymux/door/server.py
@@ -21,6 +21,7 @@
 READ_TIMEOUT = 2.3  # seconds for a request to come whole, the first one counted from connecting
 IDLE_TIMEOUT = 15.0  # seconds that a connection may stand idle, while there is room for it
 LINGER = 3.0  # seconds that a client has to read the last answer on its connection
+UNREAD_TIMEOUT = 30.0  # seconds that a client may take to read what waits for it
 SWEEP = 0.25  # seconds between looks at these times
 SETTLED_AFTER = 2.0  # seconds without a request after which a connection may be closed for room
 SILENT_AFTER = 0.1  # and after which one that has asked nothing, or has its last answer, may be
@@ -71,6 +72,7 @@
         self.arriving = False
         self.broken = False  # nothing more is read as a request
         self.peer = ""  # the client's address
+        self.ended = False  # whether the client has ended its sending
         self.stray = 0
         self.held = 0  # bytes of a body that is coming in
         self.clear()
@@ -99,8 +101,19 @@
         self.stand(self.server.fresh)
         self.server.add(self)
 
+    def eof_received(self) -> bool:
+        """A client that has ended its sending after a whole request may still be owed an answer."""
+        if not (self.server.front.half_close and self.pending):
+            return False
+        self.broken = self.ended = True
+        self.arriving = False
+        self.let_go()
+        self.pending[-1].keep_alive = False
+        return True
+
     def connection_lost(self, error: Exception | None) -> None:
         self.transport = None
+        self.server.unread.pop(self, None)
         self.stand(None)
         self.server.clients.discard(self)
         self.let_go()
@@ -135,7 +148,7 @@
         if self.stray > FLOOD and self.transport is not None:
             self.stray = 0
             self.transport.pause_reading()
-            self.server.loop.call_later(FLOOD_PAUSE, self.resume_writing)
+            self.server.loop.call_later(FLOOD_PAUSE, self.resume_reading)
 
     def on_message_begin(self) -> None:
         if self.broken:
@@ -226,8 +239,7 @@
             if self.transport is None or self.transport.is_closing():
                 continue
             close = not exchange.keep_alive or (self.server.stopping and not self.pending)
-            head = exchange.call is not None and exchange.call.head
-            self.transport.write(self.server.front.encode(answer, close, head))
+            self.transport.write(self.server.front.encode(answer, close, exchange.call))
             if close:
                 self.end()
                 return
@@ -238,8 +250,16 @@
         """Answers that a client does not read must not pile up here: no further requests until it does."""
         if self.transport is not None:
             self.transport.pause_reading()
+        unread = self.server.unread
+        unread[self] = time.monotonic()
+        if len(unread) > self.server.front.most_unread:
+            next(iter(unread)).abort()
 
     def resume_writing(self) -> None:
+        self.server.unread.pop(self, None)
+        self.resume_reading()
+
+    def resume_reading(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
@@ -258,7 +278,7 @@
         """End sending; read on for a moment, as a reset on unread bytes could overtake the answer."""
         self.broken = True
         if self.transport is not None:
-            self.transport.write_eof()
+            self.transport.close() if self.ended else self.transport.write_eof()
             self.stand(self.server.ended)
             for exchange in self.pending:
                 if exchange.request is not None:  # pipelined behind a last one: nobody waits for it
@@ -284,6 +304,7 @@
         self.idle: OrderedDict[Client, None] = OrderedDict()
         self.coming: OrderedDict[Client, None] = OrderedDict()
         self.ended: OrderedDict[Client, None] = OrderedDict()
+        self.unread: dict[Client, float] = {}  # who does not read its answers, and since when
         self.ids: set[bytes] = set()  # of requests that are open
         self.held = 0
         self.stopping = False
@@ -333,6 +354,10 @@
         for line, most in ((self.idle, idle_most), (self.ended, LINGER)):
             for client in self.overdue(line, most):
                 client.abort()  # a close would wait for a client that never reads its last answer
+        if self.front.half_close:  # on the platform others' time limits do for it
+            slow = time.monotonic() - UNREAD_TIMEOUT
+            for client in [c for c, since in self.unread.items() if since < slow]:
+                client.abort()
         self.timer = self.loop.call_later(SWEEP, self.sweep)
 
     def overdue(self, line: OrderedDict[Client, None], most: float) -> Iterator[Client]:
--- /dev/null
+++ b/ivymux/door/style.py
@@ -0,0 +1,47 @@
+"""What a worker's answer means to a front door, and what its client is told in the end.  Pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from orchidhill.interface import Outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Style:
+    """How a front door reads answers.
+
+    `whole`: a worker's status and headers reach the client, also those of an error; else only its 200s
+    do.  `most_body`: bytes of an answer's body.  `held`: bytes of all answers that are coming in.
+    """
+
+    whole: bool
+    most_body: int
+    held: int
+
+    def outcome(self, status: int, not_started: bool) -> Outcome:
+        """The outcome of an attempt that was answered whole.
+
+        Of ordinary HTTP the answers 500, 502, 503 and 504 (RFC 9110, 15.6) say that the worker failed at
+        it; all others are its last word, whatever they tell.
+        """
+        if status in (503, 504) and not_started:
+            return Outcome.FULL
+        served = status not in (500, 502, 503, 504) if self.whole else status == 200
+        return Outcome.OK if served else Outcome.ERROR
+
+    def refused(self, beyond: bool) -> int:
+        """The status of a refusal; `beyond`: for the customer's quota (RFC 6585, 4)."""
+        return 429 if beyond and self.whole else 503
+
+    def failed(self, last: Outcome | None) -> int:
+        """The status of a failure, by how the last attempt ended."""
+        return 504 if self.whole and last is Outcome.TIMEOUT else 502
+
+
+def has_no_body(status: int, head: bool) -> bool:
+    """Whether an answer ends with its header section, whatever that announces (RFC 9112, 6.3)."""
+    return head or status in (204, 304)
+
+
+PLATFORM = Style(whole=False, most_body=64 * 1024, held=1 << 62)  # by the platform's protocol
--- a/ivymux/door/upstream.py
+++ b/ivymux/door/upstream.py
@@ -15,11 +15,11 @@
 import httptools
 
 from ivymux.door.limits import Address
+from ivymux.door.style import PLATFORM, Style, has_no_body
 from orchidhill.interface import Outcome
 
-MOST_BODY = 64 * 1024  # of an answer, by the protocol
 MOST_HEAD = 16 * 1024  # with those of interim answers
-MOST_ANSWER = 8 * MOST_BODY  # on the wire, as chunks of one byte may be sent
+CHUNKED = 8  # times its body that an answer may have on the wire, as chunks of one byte may be sent
 BACKEND_PART = 0.5  # of all connections, that one backend may have
 IDLE_PART = 0.5  # of the backend's idle time, after which an idle connection is retired here
 SWEEP = 1.0  # seconds between looks for such connections
@@ -37,15 +37,17 @@
     report: tuple[float, ...] = ()
     body: bytes = b""
     content_type: bytes = b""
+    status: int = 0  # of a whole answer, where a front door passes it on
+    headers: list[tuple[bytes, bytes]] | None = None
 
 
 class Attempt:
     """One request on its way to one backend; `done` hears of its end exactly once."""
 
-    __slots__ = ("began", "done", "link", "over", "payload", "timer", "verdict")
+    __slots__ = ("began", "done", "head", "link", "over", "payload", "timer", "verdict")
 
-    def __init__(self, payload: bytes, done: Callable[[Result], None]) -> None:
-        self.payload, self.done = payload, done
+    def __init__(self, payload: bytes, done: Callable[[Result], None], head: bool = False) -> None:
+        self.payload, self.done, self.head = payload, done, head
         self.began = time.perf_counter()
         self.link: Link | None = None  # once its first byte may have been written
         self.timer: asyncio.TimerHandle | None = None
@@ -87,20 +89,25 @@
         self.pool = pool
         self.transport: asyncio.Transport | None = None
         self.attempt: Attempt | None = None
+        self.style = pool.owner.style
         self.idle_since = 0.0
         self.unsent = False  # whether part of the request still waits in this process
         self.parser = httptools.HttpResponseParser(self)
         self.readable = select.poll()
+        self.size = 0  # bytes of the body that is coming
         self.clear()
 
     def clear(self) -> None:
         self.read = 0  # bytes read for the answer that is coming, those of interim ones too
+        self.pool.owner.held -= self.size
         self.result: Result | None = None  # the whole answer
         self.keep = False
         self.new_answer()
 
     def new_answer(self) -> None:
         self.headed = False
+        self.bodiless = False  # whether it ended with its header section, so that the parser is of no use on
+        self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
         self.size = 0
         self.length = 0
@@ -148,7 +155,7 @@
         if self.result is None:
             if error is not None:
                 log.warning("backend %s: spoilt answer: %s", self.pool.name, error.__context__ or error)
-            elif self.read > (MOST_ANSWER if self.headed else MOST_HEAD):
+            elif self.read > (CHUNKED * self.style.most_body if self.headed else MOST_HEAD):
                 log.warning("backend %s: an answer without end", self.pool.name)
             else:
                 return
@@ -161,6 +168,8 @@
         assert self.transport is not None
         attempt, result, keep = self.attempt, self.result, self.keep and error is None and not self.unsent
         self.attempt = None
+        if self.bodiless and keep:
+            self.parser = httptools.HttpResponseParser(self)  # that one would wait for a body
         self.clear()
         if keep:
             self.pool.put(self)
@@ -184,38 +193,56 @@
             self.framed, self.length = True, int(value)  # the parser takes digits only
         elif name == b"transfer-encoding":
             self.framed = True
+        if self.style.whole:
+            self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        self.headed = self.parser.get_status_code() >= 200
-        if self.length > MOST_BODY:
+        status = self.parser.get_status_code()
+        self.headed = status >= 200
+        attempt = self.attempt if self.headed and self.style.whole else None
+        if attempt is not None and has_no_body(status, attempt.head):
+            self.bodiless = True
+            self.framed = status != 204 or not self.length  # one that announces a body may send it
+            self.answered(status)
+            return
+        if self.length > self.style.most_body:
             raise Spoilt(f"announces {self.length} bytes")
 
+    def on_chunk_header(self) -> None:
+        if self.bodiless:
+            raise Spoilt("a body behind an answer that has none")
+
     def on_body(self, body: bytes) -> None:
+        if self.bodiless:
+            raise Spoilt("a body behind an answer that has none")
         self.size += len(body)
-        if self.size > MOST_BODY:
-            raise Spoilt(f"over {MOST_BODY} bytes")
+        self.pool.owner.held += len(body)
+        if self.size > self.style.most_body:
+            raise Spoilt(f"over {self.style.most_body} bytes")
+        if self.pool.owner.held > self.style.held:
+            raise Spoilt("too much is held of all answers")
         self.body.append(body)
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
         if status < 200:
             self.new_answer()  # an interim answer; the final one follows
-            return
+        elif not self.bodiless:
+            self.answered(status)
+
+    def answered(self, status: int) -> None:
+        """The answer is whole."""
         if self.transport is None or self.transport.is_closing() or self.attempt is None:
             return
-        if status == 200:
-            outcome = Outcome.OK
-        elif status in (503, 504) and self.not_started:
-            outcome = Outcome.FULL
-        else:
-            outcome = Outcome.ERROR
         self.result = Result(
-            outcome,
+            self.style.outcome(status, self.not_started),
             time.perf_counter() - self.attempt.began,
             self.pool.owner.report(self.load),
             b"".join(self.body),
             self.content_type,
         )
+        if self.style.whole:
+            self.result.status, self.result.headers = status, self.headers
         self.keep = self.parser.should_keep_alive() and self.framed
 
     def abort(self) -> None:
@@ -223,6 +250,8 @@
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
+        self.pool.owner.held -= self.size
+        self.size = 0
         self.pool.forget(self)
         if (attempt := self.attempt) is not None:
             self.attempt = None
@@ -307,8 +336,15 @@
     """All backends that discovery has named."""
 
     def __init__(
-        self, connect_timeout: float, conn_idle: float, columns: tuple[str, ...], most_open: int
+        self,
+        connect_timeout: float,
+        conn_idle: float,
+        columns: tuple[str, ...],
+        most_open: int,
+        style: Style = PLATFORM,
     ) -> None:
+        self.style = style
+        self.held = 0  # bytes of answers that are coming in
         self.connect_timeout, self.columns, self.most_open = connect_timeout, columns, most_open
         self.keep_idle = IDLE_PART * conn_idle
         self.loop = asyncio.get_running_loop()
@@ -335,8 +371,11 @@
             del self.places[pool.address]
             pool.close_idle()
 
-    def start(self, backend: int, payload: bytes, timeout: float, done: Callable[[Result], None]) -> Attempt:
-        attempt = Attempt(payload, done)
+    def start(
+        self, backend: int, payload: bytes, timeout: float, done: Callable[[Result], None], head: bool = False
+    ) -> Attempt:
+        """Begin an attempt; `timeout` in seconds, `head`: its answer has no body."""
+        attempt = Attempt(payload, done, head)
         pool = self.pools.get(backend)
         if pool is None:
             self.loop.call_soon(attempt.fail, Outcome.CONNECT_FAILED)
--- a/ivymux/platform/front.py
+++ b/ivymux/platform/front.py
@@ -25,6 +25,7 @@
 
     most_body = MOST_BODY
     half_close = False
+    most_unread = 1 << 30  # answers are small by the protocol
 
     def __init__(self, terms: Reader, ready: Callable[[], bool]) -> None:
         self.terms, self.ready = terms, ready
@@ -58,7 +59,7 @@
     def refusal(self, error: BadRequest) -> Answer:
         return Answer(error.status, f"{error}\n".encode(), retry_after=1.0 if error.status == 503 else 0.0)
 
-    def encode(self, answer: Answer, close: bool, head: bool) -> bytes:
+    def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
         top = f"HTTP/1.1 {answer.status} {REASONS[answer.status]}\r\nContent-Length: {len(answer.body)}\r\n"
         if answer.retry_after > 0:
             top += f"Retry-After: {answer.retry_after:.3f}\r\n"
