A standalone front door, its command line, the tally in the process and the demo

A newcomer saw only 'NODE_CONFIG is not set'. Now 'ivymux demo' serves a sample description with stand-in workers, 'ivymux serve SITE.toml' a site of one's own; check, routes check, routes match and key help on the way. It feeds the same decision module through the same host. Callers are known by API keys, hashed at rest; routes come from the description, which is compiled in a process of its own with bounds on memory and time, kept in a cache, and taken over between two requests.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m ivymux`: with NODE_CONFIG the front door of the operators' platform."""
+"""`python -m ivymux VERB`; without a verb, NODE_CONFIG starts the front door of the operators' platform."""
 
 from __future__ import annotations
 
@@ -6,8 +6,9 @@
 import sys
 
 if __name__ == "__main__":
-    # The default would end the process.  Until the loop hears it nothing has been read that could be old.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    from ivymux.platform.frontdoor import main
+    if len(sys.argv) == 1:
+        # The default would end the process.  Until the loop hears it nothing has been read that could be old.
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from ivymux.cli import main
 
     sys.exit(main())
--- /dev/null
+++ b/ivymux/cli/__init__.py
@@ -0,0 +1,57 @@
+"""The command line: one module a verb.  Exit codes: 0 well, 1 findings, 2 usage or unreadable."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+from collections.abc import Sequence
+
+from ivymux import __version__
+
+
+def parser() -> argparse.ArgumentParser:
+    from ivymux.cli import check, demo, key, routes, serve
+
+    top = argparse.ArgumentParser(
+        prog="ivymux",
+        description="An admission gateway and load balancer: quotas by customer, five rules, routes from"
+        " an OpenAPI description.",
+        epilog="Exit codes: 0 well, 1 findings, 2 usage or something that can't be read.",
+    )
+    top.add_argument("--version", action="version", version=f"ivymux {__version__}")
+    verbs = top.add_subparsers(title="commands", metavar="COMMAND")
+    for module in (serve, demo, check, routes, key):
+        module.add(verbs)
+    return top
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command; its exit code.  Without one, NODE_CONFIG starts the operators' platform's door."""
+    given = sys.argv[1:] if arguments is None else list(arguments)
+    if not given and os.environ.get("NODE_CONFIG"):
+        from ivymux.platform.frontdoor import main as platform
+
+        return platform()
+    top = parser()
+    try:
+        args = top.parse_args(given)
+    except SystemExit as stop:
+        return int(stop.code or 0)
+    if not hasattr(args, "run"):
+        top.print_help(sys.stderr)
+        return 2
+    try:
+        return int(args.run(args))
+    except BrokenPipeError:
+        # Who reads has had enough; the interpreter's own last flush must not fail.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return 0
+    except KeyboardInterrupt:
+        return 130
+
+
+def fail(error: object) -> int:
+    """One plain line on standard error, and the exit code for what can't be read."""
+    print(f"ivymux: {' '.join(str(error).split())}", file=sys.stderr)
+    return 2
--- /dev/null
+++ b/ivymux/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The sample service of `ivymux demo`."""
--- a/ivymux/door/front.py
+++ b/ivymux/door/front.py
@@ -22,13 +22,16 @@
 
 @dataclass(slots=True)
 class Answer:
-    """A final answer.  Without `headers` it is the front door's own, else a worker's."""
+    """A final answer.  With `headers` it is a worker's, with those it came with; else the front door's own,
+    with what it adds in `extra`.
+    """
 
     status: int
     body: bytes = b""
     content_type: bytes = b""
     retry_after: float = 0.0
     headers: Headers | None = None
+    extra: Headers | None = None
 
 
 @dataclass(slots=True)
@@ -49,6 +52,7 @@
 
     most_body: int  # bytes of a request's body
     half_close: bool  # whether a client that has ended its sending is still answered
+    close_refused: bool  # whether a refusal's connection is closed: its descriptor may be of use to others
     most_unread: int  # clients that may leave answers unread; more of them make the first give way
 
     def local(self, target: bytes) -> Answer | None:
--- a/ivymux/door/server.py
+++ b/ivymux/door/server.py
@@ -200,7 +200,7 @@
         try:
             self.take(exchange)
         except BadRequest as error:
-            exchange.keep_alive = False  # its descriptor is of use to others
+            exchange.keep_alive = exchange.keep_alive and not self.server.front.close_refused
             exchange.reply(self.server.front.refusal(error))
         except Exception:
             log.exception("a request could not be taken")
--- a/ivymux/platform/front.py
+++ b/ivymux/platform/front.py
@@ -25,6 +25,7 @@
 
     most_body = MOST_BODY
     half_close = False
+    close_refused = True
     most_unread = 1 << 30  # answers are small by the protocol
 
     def __init__(self, terms: Reader, ready: Callable[[], bool]) -> None:
--- a/ivymux/routes/table.py
+++ b/ivymux/routes/table.py
@@ -49,21 +49,25 @@
     def wanted(self) -> set[RequestClass]:
         """The distinct classes of all operations.  A keyed one's requests without a key are unsafe."""
         found = set()
-        for operation in self.compiled.operations:
-            for effect in (operation.effect, Effect.UNSAFE):
-                if effect is operation.effect or operation.effect is Effect.KEYED:
-                    found.add(self.class_of(operation, effect))
+        for operation in self.distinct().values():
+            found.add(self.class_of(operation, operation.effect))
+            if operation.effect is Effect.KEYED:
+                found.add(self.class_of(operation, Effect.UNSAFE))
         return found
 
+    def distinct(self) -> dict[tuple[str, str, float, float, float], Operation]:
+        """One operation for each set of traits: there are few, and many operations."""
+        return {traits(operation): operation for operation in self.compiled.operations}
+
     def class_of(self, operation: Operation, effect: Effect) -> RequestClass:
         return self.classes.make(operation.cls, effect, operation.aim, operation.deadline, operation.worth)
 
     def enter(self) -> None:
         """Take numbers for the classes.  Raises TooManyClasses, changing nothing."""
         self.numbers = self.classes.put(self.wanted())
-        for operation in self.compiled.operations:
+        for known, operation in self.distinct().items():
             unsafe = self.numbers.get(self.class_of(operation, Effect.UNSAFE), -1)
-            self.of[traits(operation)] = self.numbers[self.class_of(operation, operation.effect)], unsafe
+            self.of[known] = self.numbers[self.class_of(operation, operation.effect)], unsafe
 
     def decide(self, method: str, target: bytes, headers: list[tuple[bytes, bytes]]) -> Decision:
         """What a request is handled by.  Raises NoRoute, BadParameter."""
--- a/ivymux/routes/text.py
+++ b/ivymux/routes/text.py
@@ -73,7 +73,7 @@
 
 
 def construct_scalar(loader: Loader, node: yaml.ScalarNode) -> Any:
-    if node.style is None and node.value in BOOLEANS:
+    if not node.style and node.value in BOOLEANS:
         return BOOLEANS[node.value]
     return loader.construct_scalar(node)
 
--- /dev/null
+++ b/ivymux/service/__init__.py
@@ -0,0 +1,1 @@
+"""A standalone front door, put together from a site file."""
--- /dev/null
+++ b/ivymux/service/compiler.py
@@ -0,0 +1,166 @@
+"""Compiles a description in a process of its own, bounded in memory and time, beside one that serves.
+
+`python -m ivymux.service.compiler FILE` with the options as JSON on standard input; on standard output a
+byte that tells which, then the compiled description or the findings as MessagePack.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import resource
+import sys
+import tempfile
+from hashlib import sha256
+from pathlib import Path
+
+import msgspec
+
+from ivymux import __version__
+from ivymux.routes.model import Compiled, DescriptionError, Finding, Options
+from ivymux.routes.refs import Read
+from ivymux.routes.text import MOST_BYTES
+
+MOST_MEMORY = 3 << 30  # bytes of address space
+MOST_CPU = 60  # seconds
+TIMEOUT = 90.0
+MOST_OUTPUT = 256 << 20
+GOOD, BAD = b"+", b"-"
+MAGIC = b"ivymux-routes-1\n"
+
+
+class CompilerError(RuntimeError):
+    """The compiler ended without a result."""
+
+
+class Cached(msgspec.Struct, frozen=True):
+    program: str  # the version that made it
+    options: Options
+    compiled: Compiled
+
+
+def reader(path: Path) -> Read:
+    """Reads a description's files.  What leads out of its folder, also by a link, is refused."""
+    folder = path.parent.resolve()
+
+    def read(name: str) -> bytes:
+        # The file itself may be a link, as configuration tools make them; the files beside it may not
+        # lead elsewhere.
+        target = path if name == path.name else folder / name
+        if name != path.name and not target.resolve().is_relative_to(folder):
+            raise OSError(None, "it leads out of the description's folder")
+        with open(target, "rb") as source:
+            if not os.path.isfile(source.fileno()):
+                raise OSError(None, "it is not a file")
+            return source.read(MOST_BYTES + 1)
+
+    return read
+
+
+def main() -> int:
+    """The child's part."""
+    resource.setrlimit(resource.RLIMIT_AS, (MOST_MEMORY, MOST_MEMORY))
+    resource.setrlimit(resource.RLIMIT_CPU, (MOST_CPU, MOST_CPU))
+    os.nice(10)
+    from ivymux.routes.description import compile_description
+
+    path = Path(sys.argv[1])
+    options = msgspec.json.decode(sys.stdin.buffer.read(), type=Options)
+    try:
+        out = GOOD + msgspec.msgpack.encode(compile_description(path.name, reader(path), options))
+    except DescriptionError as error:
+        out = BAD + msgspec.msgpack.encode(error.findings)
+    except MemoryError:
+        finding = Finding("error", path.name, "", "needs more memory than it may have")
+        out = BAD + msgspec.msgpack.encode([finding])
+    sys.stdout.buffer.write(out)
+    return 0
+
+
+async def compile_beside(path: Path, options: Options) -> Compiled:
+    """A file's description, compiled in a process of its own.  Raises DescriptionError, CompilerError."""
+    child = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "ivymux.service.compiler", str(path),
+        stdin=asyncio.subprocess.PIPE, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.DEVNULL,
+    )  # fmt: skip
+    try:
+        async with asyncio.timeout(TIMEOUT):
+            out, _ = await child.communicate(msgspec.json.encode(options))
+    except TimeoutError:
+        raise CompilerError(f"{path}: not compiled within {TIMEOUT:g} s") from None
+    finally:
+        if child.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                child.kill()
+    if out[:1] == GOOD and len(out) <= MOST_OUTPUT:
+        return msgspec.msgpack.decode(out[1:], type=Compiled)
+    if out[:1] == BAD:
+        raise DescriptionError(msgspec.msgpack.decode(out[1:], type=list[Finding]))
+    raise CompilerError(f"{path}: needs more than {MOST_CPU} s or {MOST_MEMORY >> 30} GiB to compile")
+
+
+# --- the cache -------------------------------------------------------------------------------------
+
+
+def cache_file(folder: Path, path: Path) -> Path:
+    return folder / f"{path.name}.{sha256(str(path.resolve()).encode()).hexdigest()[:12]}.routes"
+
+
+def unchanged(path: Path, compiled: Compiled) -> bool:
+    """Whether every file that a description was made of is still the same.  Raises OSError."""
+    read = reader(path)
+    return all(sha256(read(name)).hexdigest() == known for name, known in compiled.files.items())
+
+
+def load_cached(folder: Path, path: Path, options: Options) -> Compiled | None:
+    """The compiled description as kept, if every file that it was made of is still the same."""
+    try:
+        data = cache_file(folder, path).read_bytes()
+        if not data.startswith(MAGIC):
+            return None
+        digest, payload = data[len(MAGIC) : len(MAGIC) + 64], data[len(MAGIC) + 64 :]
+        if sha256(payload).hexdigest().encode() != digest:
+            return None  # damaged, or cut short
+        kept = msgspec.msgpack.decode(payload, type=Cached)
+        if (kept.program, kept.options) != (__version__, options):
+            return None
+        if not unchanged(path, kept.compiled):
+            return None
+    except (OSError, msgspec.MsgspecError):
+        return None
+    return kept.compiled
+
+
+def keep(folder: Path, path: Path, options: Options, compiled: Compiled) -> None:
+    """Keep a compiled description: whole or not at all.  Raises OSError."""
+    payload = msgspec.msgpack.encode(Cached(__version__, options, compiled))
+    folder.mkdir(parents=True, exist_ok=True)
+    handle, name = tempfile.mkstemp(dir=folder, suffix=".part")
+    try:
+        with os.fdopen(handle, "wb") as sink:
+            sink.write(MAGIC + sha256(payload).hexdigest().encode() + payload)
+            sink.flush()
+            os.fsync(sink.fileno())
+        os.replace(name, cache_file(folder, path))
+    except OSError:
+        with contextlib.suppress(OSError):
+            os.unlink(name)
+        raise
+
+
+async def obtain(path: Path, options: Options, cache: Path | None) -> tuple[Compiled, bool]:
+    """A description from the cache or compiled, and whether it was kept."""
+    if cache is not None:
+        compiled = await asyncio.to_thread(load_cached, cache, path, options)
+        if compiled is not None:
+            return compiled, True
+    compiled = await compile_beside(path, options)
+    if cache is not None:
+        with contextlib.suppress(OSError):  # a cache only saves time
+            await asyncio.to_thread(keep, cache, path, options, compiled)
+    return compiled, False
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/ivymux/service/standalone.py
@@ -0,0 +1,288 @@
+"""A standalone front door: its parts, put together from a site file, and how they change in service."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import random
+import secrets
+import time
+from collections.abc import Coroutine
+from pathlib import Path
+from typing import Any
+
+from ivymux.door.host import Host
+from ivymux.door.limits import HELD_PART, Address, Bounds, ConfigError
+from ivymux.door.server import Server
+from ivymux.door.style import Style
+from ivymux.door.upstream import Upstream
+from ivymux.platform.counter import Counter
+from ivymux.platform.discovery import backend_id
+from ivymux.routes.classes import ClassTable, TooManyClasses
+from ivymux.routes.compare import compare
+from ivymux.routes.model import Compiled, DescriptionError
+from ivymux.routes.table import Table
+from ivymux.service.compiler import CompilerError, obtain, unchanged
+from ivymux.service.front import OrdinaryFront
+from ivymux.service.site import MOST_ANSWERS, SCOPES, Site, SiteError, findings, read_site, settings
+from ivymux.tally.local import LocalCounter
+from ivymux.tally.server import TallyServer
+from ivymux.tally.store import Store
+from orchidhill import interface as i
+from orchidhill.gateway import Gateway
+
+LINGER = 0.6  # seconds after SIGTERM in which new connections go on coming
+log = logging.getLogger("ivymux")
+
+
+def load_site(path: Path) -> Site:
+    """A site file.  Raises SiteError."""
+    try:
+        return read_site(path.read_text(encoding="utf-8"), str(path))
+    except (OSError, UnicodeDecodeError) as error:
+        why = error.strerror if isinstance(error, OSError) else "not UTF-8"
+        raise SiteError(f"{path}: cannot be read: {why}") from None
+
+
+def description_path(site: Site, path: Path) -> Path:
+    return path.parent / site.file.description.file
+
+
+def cache_path(site: Site, path: Path) -> Path | None:
+    return path.parent / site.file.description.cache if site.file.description.cache else None
+
+
+class Standalone:
+    """One front door."""
+
+    def __init__(self, path: Path, site: Site, compiled: Compiled) -> None:
+        self.path, self.site, self.options = path, site, site.options
+        self.loop = asyncio.get_running_loop()
+        limits, file = site.file.limits, site.file
+        bounds = Bounds.of(limits.sockets, limits.memory_mb)
+        self.classes = ClassTable(file.keyed.memory, SCOPES[file.keyed.scope])
+        self.table = Table(compiled, self.classes)
+        for _ in self.table.build():
+            pass
+        self.table.enter()
+        answer = limits.answer_kb * 1024
+        style = Style(True, answer, int(limits.memory_mb * MOST_ANSWERS * (1 << 20)))
+        upstream = Upstream(
+            limits.connect_timeout, limits.worker_idle, tuple(file.reports), bounds.upstream, style
+        )
+        seed = secrets.randbits(64)
+        log.info("seed %016x", seed)
+        self.random = random.Random(seed)
+        told = settings(site, tuple(self.classes.listed))
+        self.host = Host(Gateway(told, seed), upstream)
+        self.store = Store()
+        self.tally: TallyServer | None = None
+        self.counter: Counter | None = None
+        if site.tally is not None:
+            self.counter = Counter(site.tally, file.tally.timeout, self.host.post)
+            self.host.counter = self.counter
+        else:
+            self.host.counter = LocalCounter(self.store, self.host.post)
+        unread = max(8, int(limits.memory_mb * HELD_PART * (1 << 20)) // answer)
+        self.front = OrdinaryFront(
+            self.table, site.callers, file.callers.header, site.plans, file.tally.doors,
+            limits.body_kb * 1024, unread, tuple(file.trusted_proxies), self.ready, self.make_id,
+        )  # fmt: skip
+        self.server = Server(self.front, site.listen, bounds, self.host)
+        self.workers: dict[str, tuple[Address, float]] = {}  # and when each joined, 0 for at the start
+        self.rooms: dict[str, int] = {}  # a room keeps its number when others come and go
+        self.version = 0
+        self.set_workers(first=True)
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.reloading = asyncio.Lock()
+        self.seen: dict[str, object] | None = None  # the files of the description, as last looked at
+        self.longest = max((o.deadline for o in compiled.operations), default=3.0)
+
+    # --- parts ---------------------------------------------------------------------------------------
+
+    def ready(self) -> bool:
+        return not self.server.stopping and bool(self.host.upstream.pools)
+
+    def make_id(self) -> str:
+        return f"{self.random.getrandbits(64):016x}"
+
+    def set_workers(self, first: bool = False) -> None:
+        """Tell of the workers that the site file names; those it names no more drain."""
+        for name in self.site.zones:
+            self.rooms.setdefault(name, len(self.rooms))
+        addresses = self.site.addresses
+        entries, places = [], {}
+        joined: dict[str, tuple[Address, float]] = {}
+        for part in self.site.file.workers:
+            address = addresses[part.name]
+            known = self.workers.get(part.name)
+            # A new one, or one at another address, is another process, and may be cold.
+            since = known[1] if known and known[0] == address else 0.0 if first else time.time()
+            joined[part.name] = address, since
+            number = backend_id(part.name)
+            if number in places:
+                raise SiteError(f"workers: {part.name!r} has the number of another name: rename it")
+            places[number] = address
+            entries.append(
+                i.Entry(number, self.rooms[part.room], since, i.State.READY, 0, part.bay, part.weight)
+            )
+        self.workers = joined
+        self.version += 1
+        self.host.members(i.Members(i.Listing.FULL, self.version, tuple(entries)), places)
+
+    async def start(self) -> None:
+        """Serve.  Raises ConfigError where an address can't be listened on."""
+        try:
+            if self.site.tally_listen is not None:
+                self.tally = TallyServer(self.store)
+                await self.tally.start(self.site.tally_listen)
+            if self.counter is not None:
+                await asyncio.wait([self.counter.ready], timeout=0.3)
+            await self.server.start()
+        except OSError as error:
+            raise ConfigError(f"cannot listen: {error}") from None
+        if self.site.file.description.watch > 0:
+            self.task(self.watch())
+
+    @property
+    def port(self) -> int:
+        assert self.server.server is not None
+        return int(self.server.server.sockets[0].getsockname()[1])
+
+    def task(self, work: Coroutine[Any, Any, None]) -> None:
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    # --- changes in service ----------------------------------------------------------------------------
+
+    async def watch(self) -> None:
+        """Look now and then whether a file of the description has changed."""
+        while True:
+            await asyncio.sleep(self.site.file.description.watch)
+            try:
+                await self.look()
+            except Exception:
+                log.exception("the look at the description failed")
+
+    def stamps(self) -> dict[str, object]:
+        """What tells a change of the files apart, without reading them."""
+        path = description_path(self.site, self.path)
+        found: dict[str, object] = {}
+        for name in {path.name, *self.table.compiled.files}:
+            try:
+                stat = (path.parent / name).stat()
+                found[name] = stat.st_mtime_ns, stat.st_size, stat.st_ino, stat.st_dev
+            except OSError as error:
+                found[name] = error.errno
+        return found
+
+    async def look(self) -> None:
+        stamps = self.stamps()
+        if self.seen is None:
+            # What changed between the compilation and this first look is told by the digests.
+            path = description_path(self.site, self.path)
+            with contextlib.suppress(OSError):
+                if await asyncio.to_thread(unchanged, path, self.table.compiled):
+                    self.seen = stamps
+        if stamps != self.seen:
+            self.seen = stamps
+            await self.reload_description()
+
+    async def reload_description(self) -> bool:
+        """Compile the description anew and go over to it; whether there was anything to go over to.
+
+        One that can't be served changes nothing.
+        """
+        async with self.reloading:
+            path = description_path(self.site, self.path)
+            try:
+                compiled, _ = await obtain(path, self.site.options, cache_path(self.site, self.path))
+                if (compiled.files, self.site.options) == (self.table.compiled.files, self.options):
+                    return False
+                table = Table(compiled, self.classes)
+                for _ in table.build():
+                    await asyncio.sleep(0)  # requests go between
+                table.enter()
+            except (DescriptionError, CompilerError, TooManyClasses) as error:
+                log.error("the description stays as it was: %s", error)
+                return False
+            changes = compare(self.table.compiled, compiled)
+            # From here to the end nothing waits: a request has the old description whole, or the new one.
+            self.host.post(i.Classes(tuple(self.classes.listed)))
+            self.table = self.front.table = table
+            self.options = self.site.options
+            self.longest = max(self.longest, *(o.deadline for o in compiled.operations))
+            log.info("description %s: %s", compiled.version, changes)
+            for text in findings(self.site, compiled):
+                log.warning("description: %s", text)
+            return True
+
+    async def reload(self) -> None:
+        """Read the site file again: description, keys and workers.  A bad file changes nothing."""
+        try:
+            site = load_site(self.path)
+        except SiteError as error:
+            log.error("the site stays as it was: %s", error)
+            return
+        if site.plans != self.site.plans or fixed(site) != fixed(self.site):
+            log.warning("plans, limits, rules, listeners and tally change only with a restart")
+            if [p.name for p in site.plans] != [p.name for p in self.site.plans]:
+                log.error("the site stays as it was: other plans need a restart")
+                return
+        old, self.site = self.site, site
+        try:
+            self.set_workers()
+        except SiteError as error:
+            self.site = old
+            log.error("the site stays as it was: %s", error)
+            return
+        self.front.callers = site.callers
+        await self.reload_description()
+
+    # --- the end ---------------------------------------------------------------------------------------
+
+    async def drain(self) -> None:
+        """Serve on while clients still come, then finish what is held, in time for all of it."""
+        began = time.monotonic()
+        await asyncio.sleep(LINGER)
+        self.server.stop_listening()
+        while self.host.waiting and time.monotonic() - began < self.longest + 0.4:
+            await asyncio.sleep(0.01)
+        self.host.answer_all()
+        await self.close()
+
+    async def close(self) -> None:
+        for task in list(self.tasks):
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+        self.server.close()
+        await asyncio.sleep(0.05)  # the last answers leave
+        if self.counter is not None:
+            self.counter.close()
+        if self.tally is not None:
+            self.tally.close()
+        self.host.upstream.close()
+
+
+def fixed(site: Site) -> object:
+    """What of a site counts only from its start."""
+    file = site.file
+    return (
+        file.listen, file.limits, file.rules, file.tally, file.keyed, file.reports, file.callers.header,
+        file.trusted_proxies, file.name,
+    )  # fmt: skip
+
+
+async def open_standalone(path: Path) -> Standalone:
+    """A front door of a site file, not yet serving.  Raises ConfigError, DescriptionError, CompilerError."""
+    site = load_site(path)
+    compiled, _ = await obtain(description_path(site, path), site.options, cache_path(site, path))
+    for text in findings(site, compiled):
+        log.warning("description: %s", text)
+    try:
+        return Standalone(path, site, compiled)
+    except TooManyClasses as error:
+        raise ConfigError(f"{path}: {error}") from None
--- /dev/null
+++ b/ivymux/tally/__init__.py
@@ -0,0 +1,1 @@
+"""The tally: named counts that expire, in the process or on a socket of its own."""
--- /dev/null
+++ b/ivymux/tally/server.py
@@ -0,0 +1,98 @@
+"""The TALLY call on a socket (RESP2), for front doors that share one tally."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any, cast
+
+import hiredis
+
+from ivymux.door.limits import Address
+from ivymux.tally.store import BadCall, Store, TallyFull, read_call, written
+
+MOST_CONNECTIONS = 512
+MOST_UNREAD = 64 * 1024  # bytes of one call
+PONG = b"+PONG\r\n"
+
+
+class Caller(asyncio.Protocol):
+    def __init__(self, owner: TallyServer) -> None:
+        self.owner = owner
+        self.transport: asyncio.Transport | None = None
+        self.reader = hiredis.Reader()
+        self.unread = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        self.owner.callers.add(self)
+        if len(self.owner.callers) > MOST_CONNECTIONS:
+            self.transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.owner.callers.discard(self)
+
+    def pause_writing(self) -> None:
+        if self.transport is not None:
+            self.transport.pause_reading()
+
+    def resume_writing(self) -> None:
+        if self.transport is not None:
+            self.transport.resume_reading()
+
+    def data_received(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.unread += len(data)
+        answers = []
+        try:
+            self.reader.feed(data)
+            while (call := self.reader.gets()) is not False:
+                self.unread = 0
+                answers.append(self.owner.answer(call))
+            if self.unread > MOST_UNREAD:
+                raise hiredis.ProtocolError("a call without end")
+        except hiredis.ProtocolError:
+            answers.append(b"-ERR Protocol error\r\n")
+            self.transport.write(b"".join(answers))
+            self.transport.close()
+            return
+        self.transport.write(b"".join(answers))
+
+
+class TallyServer:
+    """Serves one store."""
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.callers: set[Caller] = set()
+        self.server: asyncio.Server | None = None
+
+    async def start(self, address: Address) -> int:
+        """Listen; the port.  Raises OSError."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: Caller(self), address.host, address.port)
+        return int(self.server.sockets[0].getsockname()[1])
+
+    def answer(self, call: Any) -> bytes:
+        name = call[0].upper() if isinstance(call, list) and call and isinstance(call[0], bytes) else b""
+        if name == b"PING":
+            return PONG
+        if name in (b"CLIENT", b"SELECT"):
+            return b"+OK\r\n"
+        if name != b"TALLY":
+            return b"-ERR unknown command\r\n"
+        try:
+            read = read_call(call)
+            total = written(self.store.add(read.name, read.amount, read.life, time.monotonic()))
+        except BadCall as error:
+            return f"-ERR {error}\r\n".encode()
+        except TallyFull:
+            return b"-BUSY no room for a new name\r\n"
+        return b"$%d\r\n%s\r\n" % (len(total), total)
+
+    def close(self) -> None:
+        if self.server is not None:
+            self.server.close()
+        for caller in list(self.callers):
+            if caller.transport is not None:
+                caller.transport.abort()
--- /dev/null
+++ b/ivymux/tally/store.py
@@ -0,0 +1,74 @@
+"""Named counts with a life each.  Pure: time is passed in."""
+
+from __future__ import annotations
+
+import heapq
+import math
+import re
+from dataclasses import dataclass
+
+MOST_NAMES = 1_000_000
+MOST_LIFE = 60.0  # seconds; longer ones count as this
+MOST_AMOUNT = 1e9
+NUMBER = re.compile(rb"-?\d{1,20}(\.\d{1,20})?", re.ASCII)
+LIFE = re.compile(rb"\d{1,15}", re.ASCII)
+
+
+class TallyFull(Exception):
+    """No room for a new name: nothing was added."""
+
+
+class BadCall(ValueError):
+    """A call that is none: nothing was added."""
+
+
+class Store:
+    """Counts by name; a new name is forgotten after the life that its first call gave it."""
+
+    def __init__(self, most_names: int = MOST_NAMES) -> None:
+        self.most_names = most_names
+        self.totals: dict[bytes, float] = {}
+        self.ends: list[tuple[float, bytes]] = []  # a heap: which name ends next
+
+    def add(self, name: bytes, amount: float, life: float, now: float) -> float:
+        """The total after an amount was added.  Seconds on any clock that does not go back."""
+        self.expire(now)
+        total = self.totals.get(name)
+        if total is None:
+            if len(self.totals) >= self.most_names:
+                raise TallyFull
+            heapq.heappush(self.ends, (now + min(life, MOST_LIFE), name))
+            total = 0.0
+        total += amount
+        self.totals[name] = total
+        return total
+
+    def expire(self, now: float) -> None:
+        while self.ends and self.ends[0][0] <= now:
+            del self.totals[heapq.heappop(self.ends)[1]]
+
+
+@dataclass(frozen=True, slots=True)
+class TallyCall:
+    name: bytes
+    amount: float
+    life: float  # seconds
+
+
+def read_call(parts: object) -> TallyCall:
+    """`TALLY NAME AMOUNT LIFE_MS` as a call.  Raises BadCall."""
+    if not (isinstance(parts, list) and len(parts) == 4 and all(isinstance(p, bytes) for p in parts)):
+        raise BadCall("TALLY takes a name, an amount and a life in milliseconds")
+    _, name, amount, life = parts
+    if not 1 <= len(name) <= 64:
+        raise BadCall("a name has 1 to 64 bytes")
+    if not NUMBER.fullmatch(amount) or not abs(float(amount)) <= MOST_AMOUNT:
+        raise BadCall("an amount is a decimal number up to 1e9")
+    if not LIFE.fullmatch(life) or int(life) < 1:
+        raise BadCall("a life is a whole number of milliseconds from 1")
+    return TallyCall(name, float(amount), min(MOST_LIFE, int(life) / 1000))
+
+
+def written(total: float) -> bytes:
+    """A total as text that reads back as the same number."""
+    return b"%d" % total if total == math.floor(total) and abs(total) < 1e15 else repr(total).encode()
