--- a/ivymux/door/host.py
+++ b/ivymux/door/host.py
@@ -165,10 +165,9 @@
                 else:
                     self.counter.add(action)
             case i.Refuse():
-                status = self.style.refused(action.beyond)
-                self.end(action.request, Answer(status, retry_after=action.retry_after))
+                self.end(action.request, action)
             case i.Fail():
-                self.end(action.request, None)
+                self.end(action.request, action)
             case i.Cancel():
                 request = self.table.get(action.request)
                 if request is not None and (attempt := request.out.get(action.attempt)) is not None:
@@ -232,15 +231,19 @@
         )
         self.drop(request)
 
-    def end(self, number: int, refusal: Answer | None) -> None:
+    def end(self, number: int, how: i.Refuse | i.Fail) -> None:
         """Refuse or fail a request; what its worker said last goes before a wording of our own."""
         request = self.table.get(number)
         if request is not None and not request.settled:
             last = request.last
             if last is not None and last.outcome is Outcome.ERROR and last.status:
                 answer = Answer(last.status, last.body, last.content_type, headers=last.headers)
+            elif isinstance(how, i.Refuse):
+                outcome = last.outcome if last is not None and request.may_have_run else None
+                status = self.style.refused(how.beyond, outcome)
+                answer = Answer(status, retry_after=how.retry_after)
             else:
-                answer = refusal or Answer(self.style.failed(last.outcome if last is not None else None))
+                answer = Answer(self.style.failed(last.outcome if last is not None else None))
             self.settle(request, answer)
             self.drop(request)
 
--- a/ivymux/door/style.py
+++ b/ivymux/door/style.py
@@ -30,9 +30,17 @@
         served = status not in (500, 502, 503, 504) if self.whole else status == 200
         return Outcome.OK if served else Outcome.ERROR
 
-    def refused(self, beyond: bool) -> int:
-        """The status of a refusal; `beyond`: for the customer's quota (RFC 6585, 4)."""
-        return 429 if beyond and self.whole else 503
+    def refused(self, beyond: bool, last: Outcome | None) -> int:
+        """The status of a refusal; `beyond`: for the customer's quota (RFC 6585, 4).
+
+        To ordinary clients a refusal says that nothing was done.  Where the last attempt may have run it
+        is told as that attempt ended, though the request's class makes another try harmless.
+        """
+        if not self.whole:
+            return 503
+        if last is not None and not last.never_ran:
+            return self.failed(last)
+        return 429 if beyond else 503
 
     def failed(self, last: Outcome | None) -> int:
         """The status of a failure, by how the last attempt ended."""
--- a/ivymux/door/upstream.py
+++ b/ivymux/door/upstream.py
@@ -165,8 +165,17 @@
             return
         # Only now, with all that was read looked at: `finish` may bring the next attempt to this link,
         # which must not get what stood behind this answer.  The answer itself is good in any case.
-        assert self.transport is not None
-        attempt, result, keep = self.attempt, self.result, self.keep and error is None and not self.unsent
+        self.deliver(self.attempt, self.result, self.keep and error is None and not self.unsent)
+
+    def eof_received(self) -> None:
+        """The backend has ended its sending: so ends an answer that announced no length (RFC 9112, 6.3)."""
+        if self.style.whole and self.headed and not self.framed and self.attempt is not None:
+            self.answered(self.parser.get_status_code())
+            if self.result is not None:
+                self.deliver(self.attempt, self.result, keep=False)
+
+    def deliver(self, attempt: Attempt, result: Result, keep: bool) -> None:
+        """Give the attempt its answer; the connection goes back to its pool or ends."""
         self.attempt = None
         if self.bodiless and keep:
             self.parser = httptools.HttpResponseParser(self)  # that one would wait for a body
--- a/ivymux/routes/description.py
+++ b/ivymux/routes/description.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from functools import cache
 from importlib import resources
-from itertools import product
+from itertools import islice, product
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -98,11 +98,14 @@
             told = "swagger 2.0 is not read; convert it" if "swagger" in self.root else f"it says {version!r}"
             error(self.name, "/openapi", f"not OpenAPI 3.0 or 3.1: {told}"[:200])
             return False
-        for number_, problem in enumerate(meta_schema(version[:3]).iter_errors(self.root)):
+        try:
+            problems = list(islice(meta_schema(version[:3]).iter_errors(self.root), MOST_SCHEMA_ERRORS))
+        except ValueError as caught:  # what the validator can't look at, such as 300 levels
+            error(self.name, "", f"can't be validated: {caught}")
+            return False
+        for problem in problems:
             place = "".join("/" + escape(str(part)) for part in problem.instance_path)
             error(self.name, place, " ".join(problem.message.split()))
-            if number_ + 1 >= MOST_SCHEMA_ERRORS:
-                break
         check_references(self.documents, self.name, self.findings)
         return not self.findings.errors
 
--- a/ivymux/routes/text.py
+++ b/ivymux/routes/text.py
@@ -14,12 +14,16 @@
 
 
 class TextError(ValueError):
-    """Text that is neither; `place` is line and column where they are known."""
+    """Text that can't be taken; it begins with line and column where they are known."""
 
     def __init__(self, text: str, line: int = 0, column: int = 0) -> None:
         super().__init__(f"line {line}, column {column}: {text}" if line else text)
 
 
+class NotJson(TextError):
+    """Text that is no JSON.  It may be YAML, which has braces too."""
+
+
 def pairs(items: list[tuple[str, Any]]) -> dict[str, Any]:
     made = dict(items)
     if len(made) != len(items):
@@ -39,7 +43,7 @@
     try:
         value = json.loads(text, object_pairs_hook=pairs, parse_constant=no_constant)
     except json.JSONDecodeError as error:
-        raise TextError(error.msg, error.lineno, error.colno) from None
+        raise NotJson(error.msg, error.lineno, error.colno) from None
     except RecursionError:
         raise TextError("nested too deeply") from None
     except ValueError as error:
@@ -171,7 +175,7 @@
     if text.lstrip()[:1] in ("{", "["):
         try:
             return parse_json(text)
-        except TextError:
+        except NotJson:
             if len(data) > 1 << 20:
                 raise  # flow YAML may begin so too, but no file of that size does
             try:
--- /dev/null
+++ b/tests/service/test_front.py
@@ -0,0 +1,393 @@
+"""Ordinary HTTP to and from workers: what passes, what is set, what is refused before it reaches one."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import struct
+from pathlib import Path
+from socket import SO_LINGER, SOL_SOCKET
+
+import pytest
+
+from standins.worker import Reply, Seen, answer
+from tests.routes.describing import described, operation
+from tests.sockets import run, until
+
+from .doors import PATHS, Caller, ask, read_answer, request, standing
+
+
+def test_a_request_is_served_and_headers_pass_both_ways(tmp_path: Path) -> None:
+    def plan(seen: Seen) -> Reply:
+        fields = "X-Own: 1\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\nServer-Load: TEXT queue=1\r\n"
+        fields += "Connection: X-Hop\r\nX-Hop: secret\r\nKeep-Alive: timeout=5"
+        return Reply(data=answer(418, b"tea", fields))
+
+    async def test() -> None:
+        async with standing(tmp_path, [plan]) as place:
+            got = await ask(
+                place, "GET /read/7?x=%41", X_Extra="e", Connection="X-Away", X_Away="1", TE="trailers"
+            )
+            assert (got.status, got.body, got.header("x-own")) == (418, b"tea", "1")
+            assert [v for k, v in got.headers if k.lower() == "set-cookie"] == ["a=1", "b=2"]
+            assert not any(got.header(n) for n in ("x-hop", "keep-alive", "server-load", "connection"))
+            seen = place.workers[0].last
+            assert seen is not None and (seen.method, seen.target) == ("GET", b"/read/7?x=%41")
+            assert (seen.header("x-extra"), seen.header("host")) == ("e", "h.example")
+            assert seen.header("ivymux-customer") == "c" and len(seen.header("request-id")) == 16
+            assert not any(seen.header(n) for n in ("x-away", "te", "connection", "x-api-key"))
+
+    run(test())
+
+
+def test_forwarded_is_set_and_not_believed_from_strangers(tmp_path: Path) -> None:
+    async def test() -> None:
+        lies = {"X_Forwarded_For": "6.6.6.6", "Forwarded": "for=6.6.6.6", "X_Real_IP": "6.6.6.6"}
+        lies |= {"X_Original_URL": "/admin", "Ivymux_Customer": "other", "X_Forwarded_Host": "evil"}
+        async with standing(tmp_path) as place:
+            await ask(place, "GET /read/7", **lies)
+            seen = place.workers[0].last
+            assert seen is not None and seen.header("x-forwarded-for") == "127.0.0.1"
+            assert seen.header("forwarded") == 'for=127.0.0.1;host="h.example";proto=http'
+            assert seen.header("x-forwarded-host") == "h.example" and seen.header("ivymux-customer") == "c"
+            assert not any(b"6.6.6.6" in v or b"/admin" in v for _, v in seen.headers)
+        async with standing(tmp_path, top='trusted_proxies = ["127.0.0.0/8"]') as place:
+            await ask(place, "GET /read/7", **lies)
+            seen = place.workers[0].last
+            assert seen is not None and seen.header("x-forwarded-for") == "6.6.6.6, 127.0.0.1"
+            assert seen.header("forwarded").startswith("for=6.6.6.6, for=127.0.0.1")
+            assert seen.header("ivymux-customer") == "c" and not seen.header("x-original-url")
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("line", "headers", "status"),
+    [
+        ("GET /none", {}, 404), ("PATCH /write", {}, 405), ("GET /read/7", {"X_API_Key": "wrong"}, 401),
+        ("GET /read/7", {"X_API_Key": ""}, 401), ("GET /read//7", {}, 400), ("GET /read/%2F", {}, 400),
+        ("GET /read/7;v=1", {}, 400), ("GET /read/../write", {}, 400), ("GET /READ/7", {}, 404),
+        ("GET /read/7?_method=DELETE", {}, 400), ("GET /read/7", {"X_HTTP_Method_Override": "DELETE"}, 400),
+        ("GET /read/7", {"Host": "a b"}, 400), ("GET /read/7", {"Host": ""}, 400),
+        ("GET /read/7", {"Upgrade": "websocket", "Connection": "upgrade"}, 200),
+        ("POST /keyed", {"Idempotency_Key": "a b"}, 400), ("GET ftp://h/read/7", {}, 400), ("GET *", {}, 400),
+        ("GET http://other.example/read/7", {}, 200), ("OPTIONS /write", {}, 204),
+        ("GET /read/7", {"Transfer_Encoding": "gzip, chunked"}, 501),
+    ],
+)  # fmt: skip
+def test_what_is_refused_never_reaches_a_worker(
+    tmp_path: Path, line: str, headers: dict[str, str], status: int
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as place:
+            data = request(line, **headers)
+            if "Transfer_Encoding" in headers:
+                data += b"0\r\n\r\n"
+            async with Caller(place.door) as caller:
+                got = await caller.raw(data)
+            assert got.status == status
+            if status >= 400:
+                assert got.problem["detail"] and not place.fleet.seen
+            if status in (204, 405):
+                assert got.header("allow").split(", ")[-1] in ("PUT", "POST")
+            if status == 401:
+                assert got.header("www-authenticate").startswith("ApiKey")
+            if "other" in line:
+                seen = place.workers[0].last
+                assert seen is not None and (seen.target, seen.header("host")) == (
+                    b"/read/7",
+                    "other.example",
+                )
+
+    run(test())
+
+
+def test_a_form_that_overrides_the_method_is_refused_but_for_unsafe_ones(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as place:
+            form = {"Content_Type": "application/x-www-form-urlencoded; charset=utf-8"}
+            got = await ask(place, "POST /keyed", b"a=1&%5Fmethod=delete", Idempotency_Key="k", **form)
+            assert got.status == 400 and not place.fleet.seen
+            assert (await ask(place, "POST /write", b"_method=delete", **form)).status == 200
+            assert (await ask(place, "POST /keyed", b"_method=delete", Idempotency_Key="k")).status == 200
+
+    run(test())
+
+
+def test_headers_with_an_underscore_do_not_pass(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as place:
+            data = request("GET /read/7").replace(b"\r\n\r\n", b"\r\nX_Http_Method_Override: DELETE\r\n\r\n")
+            async with Caller(place.door) as caller:
+                assert (await caller.raw(data)).status == 200
+            seen = place.workers[0].last
+            assert seen is not None and not any(b"_" in name for name, _ in seen.headers)
+
+    run(test())
+
+
+def test_a_body_too_large_is_413_and_one_that_fits_comes_whole(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, limits="body_kb = 64") as place:
+            assert (await ask(place, "POST /write", b"x" * 65_537)).status == 413
+            assert (await ask(place, "POST /write", b"y" * 65_536)).status == 200
+            seen = place.workers[0].last
+            assert seen is not None and seen.body == b"y" * 65_536
+
+    run(test())
+
+
+def test_a_used_up_quota_is_429_with_an_honest_wait_and_too_dear_ones_403(tmp_path: Path) -> None:
+    limit = {"name": "limit", "in": "query", "schema": {"type": "integer"}}
+    dear = operation(parameters=[limit], x={"cost": {"from": "query.limit", "per": 1, "most": 50}})
+
+    async def test() -> None:
+        document = described({"/a": {"get": dear}})
+        async with standing(tmp_path, document=document, plan="rate = 2.0\nburst = 10") as place:
+            assert (await ask(place, "GET /a?limit=10")).status == 200
+            got = await ask(place, "GET /a?limit=8")
+            assert got.status == 429 and "Nothing was done" in got.problem["detail"]
+            assert 1 <= int(got.header("retry-after")) <= 4  # 8 units come in 4 s
+            got = await ask(place, "GET /a?limit=11")
+            assert got.status == 403 and "11 units" in got.problem["detail"]
+            assert sum(place.fleet.seen.values()) == 1
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("reply", "line", "status", "runs"),
+    [
+        (Reply(data=answer(500, b"mine")), "GET /read/7", 500, 3),
+        (Reply(data=answer(500, b"mine")), "POST /write", 500, 1),
+        (Reply(reset=True), "GET /read/7", 502, 3),
+        (Reply(reset=True), "POST /write", 502, 1),
+        (Reply(delay=60.0), "GET /slow", 504, 1),
+        (Reply(run=False, data=answer(503, headers="Not-Started: 1")), "POST /write", 503, 0),
+        (Reply(data=answer(503, b"later", "Retry-After: 7")), "POST /write", 503, 1),
+        (Reply(data=answer(404, b"gone")), "POST /write", 404, 1),
+    ],
+)
+def test_troubles_of_workers_end_as_what_they_are(
+    tmp_path: Path, reply: Reply, line: str, status: int, runs: int
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, [lambda seen: reply] * 3) as place:
+            got = await ask(place, line, Request_Id="r1")
+            assert got.status == status and place.fleet.runs["r1"] <= runs
+            if runs == 1:
+                assert place.fleet.runs["r1"] == 1
+            if reply.data and b"Not-Started" not in reply.data:
+                assert got.body == reply.data.partition(b"\r\n\r\n")[2]  # the worker's own words
+            else:
+                assert got.problem["instance"] == "urn:request:r1" and got.header("request-id") == "r1"
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    ("line", "data", "status", "length", "again"),
+    [
+        ("HEAD /read/7", b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n", 200, "99", True),
+        ("HEAD /read/7", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", 200, "", True),
+        ("HEAD /read/7", b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody", 200, "4", False),
+        ("HEAD /read/7", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", 200, "", False),
+        ("GET /read/7", b"HTTP/1.1 204 X\r\n\r\n", 204, "", True),
+        ("GET /read/7", b"HTTP/1.1 204 X\r\nContent-Length: 3\r\n\r\n", 204, "", False),
+        ("GET /read/7", b"HTTP/1.1 204 X\r\nContent-Length: 3\r\n\r\nabc", 204, "", False),
+        ("GET /read/7", b"HTTP/1.1 304 X\r\nContent-Length: 50\r\nETag: x\r\n\r\n", 304, "50", True),
+        ("GET /read/7", b"HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" + answer(200, b"good"), 200, "4", True),
+        ("GET /read/7", b"HTTP/1.1 100 Continue\r\n\r\n" + answer(200, b"good"), 200, "4", True),
+        ("GET /read/7", b"HTTP/1.1 200 X\r\n\r\nto the end", 200, "10", False),
+    ],
+)  # fmt: skip
+def test_answers_with_and_without_bodies(
+    tmp_path: Path, line: str, data: bytes, status: int, length: str, again: bool
+) -> None:
+    to_the_end = data.endswith(b"to the end")
+
+    def plan(seen: Seen) -> Reply:
+        return Reply(data=data, close=to_the_end)
+
+    async def test() -> None:
+        async with standing(tmp_path, [plan]) as place:
+            async with Caller(place.door) as caller:
+                for _ in range(3):  # on one connection: nothing of an answer is left for the next
+                    got = await caller.ask(line)
+                    assert (got.status, got.header("content-length")) == (status, length)
+                    assert not got.header("transfer-encoding")
+            assert (place.workers[0].opened == 1) is again
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\n",
+        b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nX: a\r\n b\r\nBad Name: x\r\n\r\n",
+        b"nonsense\r\n\r\n",
+    ],
+)
+def test_an_answer_with_two_readings_is_none(tmp_path: Path, head: bytes) -> None:
+    def plan(seen: Seen) -> Reply:
+        return Reply(data=head + b"4\r\nHTTP\r\n0\r\n\r\n" + answer(200, b"another's"))
+
+    async def test() -> None:
+        async with standing(tmp_path, [plan]) as place:
+            async with Caller(place.door) as caller:
+                for _ in range(3):
+                    got = await caller.ask("POST /write")
+                    assert got.status == 502 and b"another" not in got.body
+            assert place.workers[0].opened == 3
+
+    run(test())
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 4\r\nContent-Length: 5\r\n",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+        b"Transfer-Encoding: xchunked\r\n",
+        b"Content-Length: +4\r\n",
+        b"Content-Length : 4\r\n",
+        b"X: a\r\n Transfer-Encoding: chunked\r\n",
+        b"Host: other\r\n",
+    ],
+)
+def test_a_request_with_two_readings_is_refused(tmp_path: Path, fields: bytes) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as place:
+            data = b"POST /write HTTP/1.1\r\nHost: h\r\nX-API-Key: iv_test-key\r\n" + fields + b"\r\n"
+            data += b"0\r\n\r\nGET /read/smuggled HTTP/1.1\r\nHost: h\r\nX-API-Key: iv_test-key\r\n\r\n"
+            async with Caller(place.door) as caller:
+                got = await caller.raw(data)
+                assert got.status in (400, 501)
+                rest = await caller.reader.read()
+            assert rest.count(b"HTTP/1.1 200") <= 1 and not place.fleet.seen
+
+    run(test())
+
+
+def test_a_trailer_and_a_chunked_body_become_a_plain_one(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as place:
+            data = request("POST /write").replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+            async with Caller(place.door) as caller:
+                got = await caller.raw(data + b"3\r\nabc\r\n0\r\nX-API-Key: other\r\n\r\n")
+            seen = place.workers[0].last
+            assert got.status == 200 and seen is not None
+            assert (seen.body, seen.header("content-length")) == (b"abc", "3")
+            assert not seen.header("transfer-encoding") and not seen.header("x-api-key")
+
+    run(test())
+
+
+def test_a_client_that_ends_its_sending_still_gets_its_answer(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, [lambda seen: Reply(delay=0.05)]) as place:
+            async with Caller(place.door) as caller:
+                caller.writer.write(request("GET /read/1") + request("GET /read/2"))
+                caller.writer.write_eof()
+                assert [(await read_answer(caller.reader)).status for _ in range(2)] == [200, 200]
+                assert await caller.reader.read() == b""
+            await until(lambda: not place.door.server.clients)
+            assert not place.door.host.table
+
+    run(test())
+
+
+def test_half_a_request_and_an_end_is_not_sent_on(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as place:
+            async with Caller(place.door) as caller:
+                caller.writer.write(request("POST /write", b"whole")[:-2])
+                caller.writer.write_eof()
+                await caller.reader.read()
+            await until(lambda: not place.door.server.clients)
+            assert not place.fleet.seen and place.door.server.held == 0
+
+    run(test())
+
+
+def test_a_client_that_leaves_holds_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, [lambda seen: Reply(delay=0.2)]) as place:
+            caller = Caller(place.door)
+            await caller.__aenter__()
+            caller.writer.write(request("POST /write", b"x" * 1000))
+            await until(lambda: place.fleet.seen)
+            sock = caller.writer.get_extra_info("socket")
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+            caller.writer.transport.abort()
+            await until(lambda: not place.door.host.table)
+            assert place.door.server.held == 0 and not any(place.door.classes.held)
+            assert max(place.fleet.runs.values()) == 1
+
+    run(test())
+
+
+def test_clients_that_do_not_read_their_answers_give_way(tmp_path: Path) -> None:
+    big = answer(200, b"z" * (1 << 20))
+
+    async def test() -> None:
+        limits = "answer_kb = 2048\nmemory_mb = 128"
+        async with standing(tmp_path, [lambda seen: Reply(data=big)], limits=limits) as place:
+            most = place.door.front.most_unread
+            callers = [Caller(place.door) for _ in range(most + 4)]
+            for caller in callers:
+                await caller.__aenter__()
+                caller.writer.transport.pause_reading()  # type: ignore[attr-defined]
+                caller.writer.write(request("GET /read/1") * 4)
+            await until(lambda: place.fleet.seen.total() >= most)
+            await until(lambda: len(place.door.server.clients) <= most)
+            assert len(place.door.server.unread) <= most
+            assert (await ask(place, "GET /read/1")).status == 200
+            for caller in callers:
+                caller.writer.transport.abort()
+
+    run(test())
+
+
+def test_readiness_and_the_request_id(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path) as place:
+            assert (await ask(place, "GET /-/ready", b"", "")).body == b"ready\n"
+            await ask(place, "GET /read/7", Request_Id="mine-1")
+            seen = place.workers[0].last
+            assert seen is not None and seen.header("request-id") == "mine-1"
+            await ask(place, "GET /read/7", Request_Id="a b\tc")
+            assert place.workers[0].last is not None
+            assert len(place.workers[0].last.header("request-id")) == 16
+
+    run(test())
+
+
+def test_an_answer_says_what_it_is_in_json(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, document=described(PATHS)) as place:
+            got = await ask(place, "GET /none")
+            assert json.loads(got.body) == {
+                "type": "about:blank", "title": "No such path", "status": 404,
+                "detail": "no such path in the description",
+            }  # fmt: skip
+
+    run(test())
+
+
+def test_a_bearer_token_is_a_key_too(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, callers='header = "Authorization"') as place:
+            assert (await ask(place, "GET /read/1", Authorization="Bearer iv_test-key")).status == 200
+            assert (await ask(place, "GET /read/1", Authorization="bearer  iv_test-key")).status == 200
+            assert (await ask(place, "GET /read/1", Authorization="Basic iv_test-key")).status == 401
+            seen = place.workers[0].last
+            assert seen is not None and not seen.header("authorization")
+            await asyncio.sleep(0)
+
+    run(test())
