--- a/ivymux/service/standalone.py
+++ b/ivymux/service/standalone.py
@@ -201,24 +201,28 @@
                 compiled, _ = await obtain(path, self.site.options, cache_path(self.site, self.path))
                 if (compiled.files, self.site.options) == (self.table.compiled.files, self.options):
                     return False
-                table = Table(compiled, self.classes)
-                for _ in table.build():
-                    await asyncio.sleep(0)  # requests go between
-                table.enter()
+                changes = compare(self.table.compiled, compiled)
+                await self.take_over(compiled)
             except (DescriptionError, CompilerError, TooManyClasses) as error:
                 log.error("the description stays as it was: %s", error)
                 return False
-            changes = compare(self.table.compiled, compiled)
-            # From here to the end nothing waits: a request has the old description whole, or the new one.
-            self.host.post(i.Classes(tuple(self.classes.listed)))
-            self.table = self.front.table = table
             self.options = self.site.options
-            self.longest = max(self.longest, *(o.deadline for o in compiled.operations))
             log.info("description %s: %s", compiled.version, changes)
             for text in findings(self.site, compiled):
                 log.warning("description: %s", text)
             return True
 
+    async def take_over(self, compiled: Compiled) -> None:
+        """Serve new requests by another description.  Raises TooManyClasses, changing nothing."""
+        table = Table(compiled, self.classes)
+        for _ in table.build():
+            await asyncio.sleep(0)  # requests go between
+        # From here to the end nothing waits: a request has the old description whole, or the new one.
+        table.enter()
+        self.host.post(i.Classes(tuple(self.classes.listed)))
+        self.table = self.front.table = table
+        self.longest = max(self.longest, *(o.deadline for o in compiled.operations))
+
     async def reload(self) -> None:
         """Read the site file again: description, keys and workers.  A bad file changes nothing."""
         try:
