Cheaper requests: one look at each candidate, fields set once, numbers kept with routes

Profiled at 32 connections and 200 customers with 1,200 operations: the module's choice of a backend took 16% of a request, half of it an exponential that counts only for backends slower than usual; the front's take 17%, with sets made of header values and fields joined that are the same for each peer. The decisions are the same but for a rounding of the last bit where a figure fades. The router is filled 32 operations at a time: 256 held the loop for 10 ms.

--- a/ivymux/routes/matcher.py
+++ b/ivymux/routes/matcher.py
@@ -9,7 +9,7 @@
 from ivymux.routes.target import Target, TargetError, read_target
 from ivymux.routes.template import Segment, TemplateError, parse_template
 
-STEP = 256  # operations that are put in before another has its turn
+STEP = 32  # operations that are put in before another has its turn: a millisecond's work
 
 
 class NoRoute(LookupError):
@@ -26,6 +26,8 @@
 
     operation: Operation
     template: tuple[Segment, ...]
+    number: int = -1  # the module's number of its class, once the table is in service
+    unsafe: int = -1  # and of that for a keyed one without its key
 
     def parameter(self, name: str, segments: list[str]) -> str | None:
         """A path parameter's value in a target that this route took."""
@@ -102,7 +104,11 @@
 
     def __init__(self) -> None:
         self.root = Node()
-        self.size = 0
+        self.routes: list[Route] = []
+
+    @property
+    def size(self) -> int:
+        return len(self.routes)
 
     @classmethod
     def of(cls, operations: Iterable[Operation]) -> Router:
@@ -115,8 +121,8 @@
         """Put operations in, yielding now and then so that a serving process can do so bit by bit."""
         for operation in operations:
             self.add(operation)
-            if self.size % STEP == 0:
-                yield self.size
+            if len(self.routes) % STEP == 0:
+                yield len(self.routes)
 
     def add(self, operation: Operation) -> dict[str, Route]:
         """Put one operation in; the routes of its place.  Raises TemplateError or Clash."""
@@ -129,8 +135,8 @@
         known = node.routes.get(operation.method)
         if known is not None:
             raise Clash(operation, known.operation)
-        node.routes[operation.method] = Route(operation, template)
-        self.size += 1
+        node.routes[operation.method] = route = Route(operation, template)
+        self.routes.append(route)
         return node.routes
 
     def match(self, method: str, target: bytes) -> tuple[Route, Target]:
--- a/ivymux/routes/table.py
+++ b/ivymux/routes/table.py
@@ -22,7 +22,7 @@
     """A parameter that decides the cost or the key, and is malformed."""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Decision:
     """What a request is handled by."""
 
@@ -40,7 +40,6 @@
         self.compiled, self.classes = compiled, classes
         self.router = Router()
         self.numbers: dict[RequestClass, int] = {}
-        self.of: dict[tuple[str, str, float, float, float], tuple[int, int]] = {}
 
     def build(self) -> Iterator[int]:
         """Fill the router bit by bit; `enter` comes when it is full."""
@@ -65,9 +64,12 @@
     def enter(self) -> None:
         """Take numbers for the classes.  Raises TooManyClasses, changing nothing."""
         self.numbers = self.classes.put(self.wanted())
+        of = {}
         for known, operation in self.distinct().items():
             unsafe = self.numbers.get(self.class_of(operation, Effect.UNSAFE), -1)
-            self.of[known] = self.numbers[self.class_of(operation, operation.effect)], unsafe
+            of[known] = self.numbers[self.class_of(operation, operation.effect)], unsafe
+        for route in self.router.routes:
+            route.number, route.unsafe = of[traits(route.operation)]
 
     def decide(self, method: str, target: bytes, headers: list[tuple[bytes, bytes]]) -> Decision:
         """What a request is handled by.  Raises NoRoute, BadParameter."""
@@ -78,10 +80,9 @@
                 raise BadParameter(f"{name.decode()} is not served: it would hide the method")
         if read.query and (found := override.in_query(read.query)) and found not in operation.overrides:
             raise BadParameter("a query parameter that overrides the method is not served")
-        number, unsafe = self.of[traits(operation)]
-        effect = operation.effect
+        number, effect = route.number, operation.effect
         if effect is Effect.KEYED and not has_key(operation, read, headers):
-            number, effect = unsafe, Effect.UNSAFE
+            number, effect = route.unsafe, Effect.UNSAFE
         units = operation.cost.amount if not operation.cost.source else cost(route, read, headers)
         return Decision(operation, number, effect, units, read)
 
--- a/ivymux/service/callers.py
+++ b/ivymux/service/callers.py
@@ -21,6 +21,11 @@
     number: int  # the module's id of the customer, the same at every front door
     plan: int
 
+    @property
+    def field(self) -> bytes:
+        """The customer as a header field's value."""
+        return self.customer.encode()
+
 
 def customer_number(name: str) -> int:
     return int.from_bytes(blake2b(name.encode(), digest_size=8).digest(), "big") >> 1
--- a/ivymux/service/front.py
+++ b/ivymux/service/front.py
@@ -5,7 +5,7 @@
 import math
 import time
 from collections.abc import Callable
-from functools import lru_cache
+from functools import lru_cache, partial
 from ipaddress import ip_address, ip_network
 from urllib.parse import unquote_plus
 
@@ -28,11 +28,17 @@
 from orchidhill.interface import Effect
 
 READY = b"/-/ready"
-REQUEST_ID = frozenset(b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_.-")
-HOST = frozenset(b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_.-:[]")
+REQUEST_ID = b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_.-"
+HOST = b"0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ_.-:[]"
 NO_BODY = frozenset((b"GET", b"HEAD", b"OPTIONS", b"TRACE", b"DELETE"))  # need no Content-Length for none
 
 
+@lru_cache(maxsize=4096)
+def forwarded_alone(peer: str, host: bytes) -> bytes:
+    """The fields for a client that is no trusted proxy; there are few peers and hosts."""
+    return forwarded(peer, host, [])
+
+
 class OrdinaryFront:
     """One standalone front door's requests and answers."""
 
@@ -74,9 +80,6 @@
     ) -> Call | Answer:
         host = self.host(headers)
         fields = passing(headers, self.own)
-        for name, value in headers:
-            if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
-                raise BadRequest("only the chunked transfer coding is served", 501)
         try:
             decision = self.table.decide(method.decode("ascii"), target, fields)
         except NoRoute as error:
@@ -97,14 +100,16 @@
         host = read.authority or host
         request_id = self.request_id(headers)
         sent = read.path if read.query is None else read.path + b"?" + read.query
-        before = [p for p in headers if p[0] in FORWARDED] if self.trusts(peer) else []
-        lines = [b"%s %s HTTP/1.1\r\nhost: %s\r\n" % (method, sent, host)]
-        lines += [b"%s: %s\r\n" % pair for pair in fields]
-        lines.append(forwarded(peer, host, before))
-        lines.append(b"request-id: %s\r\nivymux-customer: %s\r\n" % (request_id, caller.customer.encode()))
+        if self.trusts(peer):
+            set_here = forwarded(peer, host, [p for p in headers if p[0] in FORWARDED])
+        else:
+            set_here = forwarded_alone(peer, host)
+        head = b"%s %s HTTP/1.1\r\nhost: %s\r\n%s%srequest-id: %s\r\nivymux-customer: %s\r\n" % (
+            method, sent, host, b"".join([b"%s: %s\r\n" % pair for pair in fields]), set_here, request_id,
+            caller.field,
+        )  # fmt: skip
         if content or method not in NO_BODY:
-            lines.append(b"content-length: %d\r\n" % len(content))
-        head = b"".join(lines)
+            head += b"content-length: %d\r\n" % len(content)
         end = began + operation.deadline
         classes, number = self.table.classes, decision.cls
 
@@ -118,17 +123,24 @@
             )  # fmt: skip
 
         classes.hold(number)
-        return Call(b"", end, make, payload, method == b"HEAD", request_id, lambda: classes.release(number))
+        return Call(b"", end, make, payload, method == b"HEAD", request_id, partial(classes.release, number))
 
     def host(self, headers: Headers) -> bytes:
-        found = [value for name, value in headers if name == b"host"]
-        if len(found) != 1 or not found[0] or set(found[0]) - HOST:
+        found = b""
+        for name, value in headers:
+            if name == b"host":
+                if found:
+                    raise BadRequest("a request has one Host")
+                found = value
+            elif name == b"transfer-encoding" and value.strip().lower() != b"chunked":
+                raise BadRequest("only the chunked transfer coding is served", 501)
+        if not found or found.translate(None, HOST):
             raise BadRequest("a request has one Host of plain letters")
-        return found[0]
+        return found
 
     def request_id(self, headers: Headers) -> bytes:
         for name, value in headers:
-            if name == b"request-id" and 0 < len(value) <= 64 and not set(value) - REQUEST_ID:
+            if name == b"request-id" and 0 < len(value) <= 64 and not value.translate(None, REQUEST_ID):
                 return value
         return self.make_id().encode()
 
--- a/ivymux/service/headers.py
+++ b/ivymux/service/headers.py
@@ -31,8 +31,7 @@
 
 def passing(headers: Headers, dropped: frozenset[bytes]) -> Headers:
     """Fields that go on.  Those with an underscore do not: some workers take it for a dash."""
-    gone = named(headers)
-    if gone:
+    if gone := named(headers):
         return [p for p in headers if p[0] not in dropped and p[0] not in gone and b"_" not in p[0]]
     return [p for p in headers if p[0] not in dropped and b"_" not in p[0]]
 
--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -191,9 +191,8 @@
         for number, (was, cls) in enumerate(zip(self.settings.classes, classes, strict=False)):
             if cls != was:
                 self.usual[number] = FIRST_LATENCY
-                for backend in self.backends.values():
-                    backend.heard.pop(number, None)
-                    backend.silent.pop(number, None)
+                for times in [t for b in self.backends.values() for t in (b.heard, b.silent)]:
+                    times.pop(number, None)
         self.settings = replace(self.settings, classes=classes)
         self.aim = min((c.aim for c in classes), default=1.0)
 
@@ -600,10 +599,12 @@
 
     def expected(self, backend: Backend) -> float:
         """A silent backend is at least as slow as it has been silent; a bad figure fades."""
-        oldest = next(iter(backend.out.values()), self.now)
-        fade = math.exp((backend.seen - self.now) / RATE_SPAN)
-        latency = min(backend.latency, self.latency + max(0.0, backend.latency - self.latency) * fade)
-        return max(latency, self.now - max(oldest, backend.answered)) / self.warmth(backend)
+        latency, now, usual = backend.latency, self.now, self.latency
+        if latency > usual:
+            latency = usual + (latency - usual) * math.exp((backend.seen - now) / RATE_SPAN)
+        if backend.out:
+            latency = max(latency, now - max(next(iter(backend.out.values())), backend.answered))
+        return latency
 
     def note(self, backend: Backend, report: tuple[float, ...]) -> None:
         """Keep a load report.  One that is missing where others come means busy, not idle."""
@@ -647,16 +648,16 @@
 
     def choose(self, job: Job) -> Backend | None:
         """The best of a few: those that the rules leave, drawn at random from a large fleet."""
-        best, best_score = None, math.inf
+        best, best_score, tried = None, math.inf, job.tried[-2:]
         fits = self.allowed(job)
         if len(fits) > CANDIDATES:
             fits = self.random.sample(fits, CANDIDATES)
         for backend in fits:
-            expected = self.expected(backend)
+            warmth = self.warmth(backend)
+            expected = self.expected(backend) / warmth
             most = max(1.0, 2 * self.room * min(1.0, 1.5 * self.latency / expected))
-            if len(backend.out) >= most or backend.entry.backend in job.tried[-2:]:
+            if len(backend.out) >= most or (tried and backend.entry.backend in tried):
                 continue
-            warmth = self.warmth(backend)
             if warmth < 1 and not self.cold_room(backend, warmth):
                 continue
             ahead = len(backend.out) + 1 + NEWEST * self.burden(backend)
