--- a/ivymux/routes/target.py
+++ b/ivymux/routes/target.py
@@ -7,7 +7,9 @@
 from urllib.parse import quote_from_bytes, unquote_to_bytes
 
 MOST_SEGMENTS = 64
-PLAIN = re.compile(rb"(/[A-Za-z0-9\-._~!$&'()*+,=:@/]*)(?:\?([!-\"$-~]*))?")  # a path in the one spelling
+UNRESERVED = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-._~"
+PLAIN = UNRESERVED + b"!$&'()*+,=:@/"  # what a path in the one spelling is made of
+QUERY = bytes(c for c in range(33, 127) if c != ord("#"))
 SPELT = re.compile(rb"(/[A-Za-z0-9\-._~!$&'()*+,=:@/;%]*)(?:\?([!-\"$-~]*))?")
 ABSOLUTE = re.compile(rb"[hH][tT][tT][pP][sS]?://([A-Za-z0-9\-._~:\[\]]+)(/[^#]*|\?[^#]*)?")
 ESCAPE = re.compile(rb"%(?![0-9A-Fa-f]{2})")
@@ -34,13 +36,14 @@
     slash, backslash, NUL or control (decoded late), `;` (path parameters cut off), an escape of an escape
     (decoded twice), what is not UTF-8 (overlong slashes).
     """
-    found = PLAIN.fullmatch(target)
-    if found is not None:
-        path, query = found.groups()
-        if b"//" not in path and b"/." not in path:
-            segments = path.decode("ascii")[1:].split("/")
+    # Nearly all targets are in the one spelling already; looks without a regular expression tell.
+    path, mark, query = target.partition(b"?")
+    if not path.translate(None, PLAIN) and not (query and query.translate(None, QUERY)):
+        text = path.decode("ascii")
+        if text[:1] == "/" and "//" not in text and "/." not in text:
+            segments = text[1:].split("/")
             if len(segments) <= MOST_SEGMENTS:
-                return Target(path, query, segments)
+                return Target(path, query if mark else None, segments)
     return unusual(target)
 
 
