--- a/bench/routes.py
+++ b/bench/routes.py
@@ -23,11 +23,15 @@
 from bench.common import Child, Load, arguments, figure, quantile, report
 from bench.descriptions import large, text
 from bench.parts import ANSWER
+from ivymux.routes.classes import ClassTable
 from ivymux.routes.description import compile_description
 from ivymux.routes.matcher import Router
+from ivymux.routes.table import Table
 from ivymux.service.callers import hash_key
+from orchidhill.interface import Scope
 
 CONNECTIONS, CUSTOMERS, WORKERS = 32, 200, 4
+FIELDS = [(b"user-agent", b"bench"), (b"accept", b"*/*")]
 KEYS = [f"iv_bench-key-{n:04d}" for n in range(CUSTOMERS)]
 
 
@@ -196,7 +200,8 @@
     figures, medians = {}, {}
     for size in (1_200, 12_000):
         data = text(size)
-        operations = compile_description("api.json", lambda _, data=data: data).operations  # type: ignore[misc]
+        compiled = compile_description("api.json", lambda _, data=data: data)  # type: ignore[misc]
+        operations = compiled.operations
         router = Router.of(operations)
         targets = [(o, re.sub(r"{[^}]*}", "ab12", o.path).encode()) for o in operations]
         for operation, target in targets:
@@ -208,6 +213,17 @@
                 router.match(operation.method, target)
             times.append((time.perf_counter() - began) / len(targets) * 1e6)
         figures[f"match, {size} operations"] = figure(times, "us")
+        table = Table(compiled, ClassTable(0.0, Scope.ALL))
+        for _ in table.build():
+            pass
+        table.enter()
+        times = []
+        for _ in range(15 if quick else 60):
+            began = time.perf_counter()
+            for operation, target in targets:
+                table.decide(operation.method, target, FIELDS)
+            times.append((time.perf_counter() - began) / len(targets) * 1e6)
+        figures[f"all that is decided of a route, {size} operations"] = figure(times, "us")
         medians[size] = figures[f"match, {size} operations"]["median"]
     return figures, {"match at 12000 over 1200": medians[12_000] / medians[1_200]}
 
--- a/ivymux/inventory/ansible.py
+++ b/ivymux/inventory/ansible.py
@@ -20,6 +20,7 @@
     Findings,
     Inventory,
     InventoryError,
+    Own,
     Place,
     Reading,
     Shape,
@@ -332,7 +333,7 @@
     return found
 
 
-def read_ansible(data: bytes, file: str, beside: Beside | None = None) -> Reading:
+def read_ansible(data: bytes, file: str, beside: Beside | None = None, own: Own = ()) -> Reading:
     """A YAML inventory.  Raises InventoryError with every finding."""
     findings = Findings(file)
     tree = Tree(findings)
@@ -357,7 +358,7 @@
             findings.warning(0, 0, f"{what}_vars/{name} is for no {what} of the inventory")
     workers = tree.workers(group_vars, host_vars)
     shape = Shape(tuple(w.name for w, _ in workers), ended=data.endswith(b"\n"))
-    return Reading(gather(workers, findings), list(findings.kept), shape)
+    return Reading(gather(workers, findings, own), list(findings.kept), shape)
 
 
 def write_ansible(inventory: Inventory) -> bytes:
--- a/ivymux/inventory/model.py
+++ b/ivymux/inventory/model.py
@@ -283,12 +283,27 @@
     return Worker(name, host, own or port, room, bay, kind, weight, state)
 
 
-def gather(found: list[tuple[Worker, Place]], findings: Findings) -> Inventory:
+Own = tuple[tuple[str, int], ...]  # host and port of the front door's own listeners
+
+
+def is_own(worker: Worker, own: Own) -> bool:
+    """Whether a worker's address is a front door's: it would send requests to itself for ever."""
+    for host, port in own:
+        anywhere = host in ("0.0.0.0", "::") and (worker.host.startswith("127.") or worker.host == "::1")
+        if worker.port == port and (worker.host == host or anywhere or worker.host == "localhost"):
+            return True
+    return False
+
+
+def gather(found: list[tuple[Worker, Place]], findings: Findings, own: Own = ()) -> Inventory:
     """All workers as one inventory.  Raises InventoryError with every finding where one is an error."""
     names: dict[str, tuple[Worker, Place]] = {}
     addresses: dict[tuple[str, int], tuple[Worker, Place]] = {}
     for worker, place in found:
         folded = worker.name.casefold()
+        if own and is_own(worker, own):
+            text = f"{worker.name} has the front door's own address {worker.address}"
+            findings.error(place.line, place.column, text)
         if folded in names:
             other, at = names[folded]
             if worker == other:
--- a/ivymux/inventory/sheet.py
+++ b/ivymux/inventory/sheet.py
@@ -11,6 +11,7 @@
     Findings,
     Inventory,
     InventoryError,
+    Own,
     Place,
     Reading,
     Shape,
@@ -108,7 +109,7 @@
     return fields
 
 
-def read_sheet(data: bytes, file: str) -> Reading:
+def read_sheet(data: bytes, file: str, own: Own = ()) -> Reading:
     """A sheet as an inventory.  Raises InventoryError with every finding."""
     findings = Findings(file)
     text = text_of(data, findings)
@@ -123,7 +124,7 @@
     workers = read_rows(rows, findings)
     if text and not text.endswith(("\n", "\r")) and not any(row for _, row in rows[-1:] if is_trailer(row)):
         findings.warning(text.count("\n") + 1, 0, "the last line does not end; it may have been cut")
-    inventory = gather(workers, findings)
+    inventory = gather(workers, findings, own)
     counted = any(is_trailer(row) for _, row in rows[1:])
     shape = Shape(tuple(w.name for w, _ in workers), counted, text.endswith(("\n", "\r")))
     return Reading(inventory, list(findings.kept), shape)
--- a/ivymux/membership/files.py
+++ b/ivymux/membership/files.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from ivymux.inventory.ansible import Beside, read_ansible
-from ivymux.inventory.model import Reading
+from ivymux.inventory.model import Own, Reading
 from ivymux.inventory.sheet import MOST_BYTES, read_sheet
 
 SHEETS = (".csv", ".tsv", ".txt")
@@ -94,9 +94,9 @@
     return Content(path.name, data, folders)
 
 
-def parse(content: Content) -> Reading:
+def parse(content: Content, own: Own = ()) -> Reading:
     """The inventory of some files.  Raises InventoryError."""
     if is_sheet(Path(content.name)):
-        return read_sheet(content.data, content.name)
+        return read_sheet(content.data, content.name, own)
     folders = Beside(content.beside.get("group_vars", {}), content.beside.get("host_vars", {}))
-    return read_ansible(content.data, content.name, folders)
+    return read_ansible(content.data, content.name, folders, own)
--- a/ivymux/membership/reader.py
+++ b/ivymux/membership/reader.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from ivymux.inventory.judge import Change, Judge, Limits, cut_reason, differences
-from ivymux.inventory.model import Finding, Inventory, InventoryError, Shape
+from ivymux.inventory.model import Finding, Inventory, InventoryError, Own, Shape
 
 MOST_MEMORY = 1 << 30  # bytes of address space
 MOST_CPU = 30  # seconds
@@ -28,6 +28,7 @@
     current: Inventory | None
     base: Inventory | None  # which counted when the judge's window began
     shape: Shape = Shape()  # of the file that the current one came from
+    own: Own = ()
 
 
 class Done(msgspec.Struct, frozen=True):
@@ -52,7 +53,7 @@
     except FilesError as error:
         return Done(problem=str(error))
     try:
-        reading = parse(content)
+        reading = parse(content, task.own)
     except InventoryError as error:
         return Done(content.digest, findings=error.findings)
     if task.current is None:
--- a/ivymux/membership/source.py
+++ b/ivymux/membership/source.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 
 from ivymux.inventory.judge import Judge, Limits
-from ivymux.inventory.model import Inventory, Shape
+from ivymux.inventory.model import Inventory, Own, Shape
 from ivymux.inventory.settle import Settle
 from ivymux.inventory.snapshot import Snapshot
 from ivymux.membership.files import stamp
@@ -42,6 +42,7 @@
     limits: Limits
     apply: Apply
     watch: float = 0.25  # seconds between looks
+    own: Own = ()
     settle: Settle = field(default_factory=Settle)
     judge: Judge | None = None
     pending: Pending | None = None
@@ -64,7 +65,7 @@
             self.ignored = last.content
         if last is not None:
             self.shape = last.shape
-        done = await read_beside(Task(str(self.path), self.limits, current, None, self.shape))
+        done = await read_beside(Task(str(self.path), self.limits, current, None, self.shape, self.own))
         self.settle.seen = self.settle.done = await asyncio.to_thread(stamp, self.path)
         good = done.inventory is not None and not done.problem
         if last is None:
@@ -119,7 +120,7 @@
         assert self.judge is not None
         base = self.judge.base(time.monotonic())
         seen = self.settle.seen
-        done = await read_beside(Task(str(self.path), self.limits, self.current, base, self.shape))
+        done = await read_beside(self.task(base))
         if await asyncio.to_thread(stamp, self.path) != seen:
             return  # it changed meanwhile: what was read may be half of it
         self.settle.taken()
@@ -132,6 +133,9 @@
         self.ignored = ""
         await self.judged(done)
 
+    def task(self, base: Inventory | None) -> Task:
+        return Task(str(self.path), self.limits, self.current, base, self.shape, self.own)
+
     async def judged(self, done: Done) -> None:
         for finding in done.findings[:5]:
             log.warning("inventory: %s", finding)
@@ -182,7 +186,7 @@
         if not found:
             log.error("inventory: there is no list %s to go back to", number[:20])
             return False
-        done = await read_beside(Task(str(self.path), self.limits, self.current, None))
+        done = await read_beside(self.task(None))
         self.ignored, self.pending = done.digest, None
         self.judge.take(found[0].inventory, time.monotonic(), confirmed=True)
         self.keep(done, "rolled back", found[0].inventory)
--- a/ivymux/routes/description.py
+++ b/ivymux/routes/description.py
@@ -307,6 +307,8 @@
         cost = terms.cost or Cost()
         key = terms.key or Key()
         self.check_parameters(path, file, at, parameters)
+        if raw.get("deprecated") is True:
+            self.findings.note(file, at, f"{method} {path} is deprecated")
         if cost.source and (cost.source, cost.name) not in parameters:
             self.findings.error(
                 file, at, f"the cost is taken from {cost.source}.{cost.name}, which is no parameter here"
--- a/ivymux/service/standalone.py
+++ b/ivymux/service/standalone.py
@@ -131,7 +131,7 @@
             state = self.path.parent / part.state if part.state else None
             self.inventory = InventorySource(
                 self.path.parent / part.file, Keeper(state), part.limits, self.apply_inventory, part.watch,
-                Settle(part.settle),
+                ((self.site.listen.host, self.site.listen.port),), Settle(part.settle),
             )  # fmt: skip
             await self.inventory.start()
         except (RosterError, NoInventory) as error:
--- a/tests/inventory/test_readers.py
+++ b/tests/inventory/test_readers.py
@@ -50,6 +50,14 @@
         assert sheet(form) == good
 
 
+def test_the_front_doors_own_address_is_no_workers() -> None:
+    text = "name,address,port\na,10.0.0.1,80\nb,127.0.0.1,8080\n"
+    for listen in ("127.0.0.1", "0.0.0.0"):
+        with pytest.raises(InventoryError, match="b has the front door's own"):
+            read_sheet(text.encode(), "w.csv", ((listen, 8080),))
+    assert read_sheet(text.encode(), "w.csv", (("127.0.0.1", 8081),)).shape.order == ("a", "b")
+
+
 def test_a_port_may_stand_with_its_address_and_what_is_left_out_has_a_default() -> None:
     assert only(sheet("name,address\nw,h.example:80\n")) == Worker("w", "h.example", 80)
     assert only(sheet("name,address\nw,[::1]:80\n")).host == "::1"
