--- a/ivymux/inventory/model.py
+++ b/ivymux/inventory/model.py
@@ -324,6 +324,11 @@
             findings.error(place.line, place.column, text)
         elif worker.state != "out":
             addresses[key] = worker, place
+    bare = next(((w, at) for w, at in found if w.name.isdecimal()), None)
+    if bare is not None:
+        worker, place = bare
+        text = f"the name {worker.name} is a bare number: a spreadsheet drops its leading zeros"
+        findings.warning(place.line, place.column, text)
     if not names and not findings.errors:
         findings.error(0, 0, "no worker at all: an empty list is never taken")
     if len(names) > MOST_WORKERS:
--- a/tests/inventory/damage.py
+++ b/tests/inventory/damage.py
@@ -67,6 +67,7 @@
     yield Variant("a worker twice with another room", with_row(5, "w04,127.0.0.1,20004,room-b").encode(), 7)
     yield Variant("one address under two names", with_cell(6, 2, "20002").encode(), 8)
     yield Variant("names that differ in case", with_cell(6, 0, "W02").encode(), 8)
+    yield Variant("names that differ in white space", with_cell(6, 0, " w02 ").encode(), 8)
     yield Variant(
         "a block pasted twice with other ports",
         text.replace("# end", "\n".join(r.replace(",200", ",210") for r in ROWS[:4]) + "\n# end").encode(),
--- a/tests/inventory/test_readers.py
+++ b/tests/inventory/test_readers.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
+import yaml
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -206,6 +209,60 @@
     assert all(len(n) - 1 >= len(begin) for n in names) or not begin.startswith("0")
 
 
+def test_a_name_that_is_a_bare_number_is_warned_of() -> None:
+    reading = read_sheet(b"name,address,port\n7,10.0.0.1,80\n8,10.0.0.2,80\n", "w.csv")
+    assert [w.line for w in reading.warnings] == [2] and "leading zeros" in reading.warnings[0].text
+
+
+GROUPS = ("g1", "g2", "g3", "g4", "g5", "g6")
+EDGES = st.sets(st.tuples(st.integers(0, 5), st.integers(0, 5)).filter(lambda e: e[0] < e[1]), max_size=9)
+KINDS = st.dictionaries(st.sampled_from(GROUPS), st.tuples(st.sampled_from("abc"), st.integers(0, 3)))
+
+
+@given(EDGES, KINDS, KINDS, st.sets(st.sampled_from(GROUPS), min_size=1, max_size=3), st.booleans())
+def test_inheritance_is_the_rule_said_plainly(
+    edges: set[tuple[int, int]],
+    inline: dict[str, tuple[str, int]],
+    beside: dict[str, tuple[str, int]],
+    member: set[str],
+    own: bool,
+) -> None:
+    """All groups of a host from the outermost in, at one depth by priority, then by name; folders go over
+    what the file says of groups, the host's own over all.
+    """
+    above = {g: {GROUPS[a] for a, b in edges if GROUPS[b] == g} for g in GROUPS}
+    tree: dict[str, Any] = {"all": {"vars": {"ansible_port": 1, "kind": "z"}}}
+    for name in GROUPS:
+        children: dict[str, Any] = {GROUPS[b]: {} for a, b in edges if GROUPS[a] == name}
+        hosts = (
+            {"h": {"ansible_host": "10.0.0.1"} | ({"kind": "mine"} if own else {})} if name in member else {}
+        )
+        variables = {}
+        if name in inline:
+            variables = {"kind": inline[name][0], "ansible_group_priority": inline[name][1]}
+        tree[name] = {"vars": variables, "children": children, "hosts": hosts}
+    folders = {
+        name: {f"group_vars/{name}.yml": f"kind: {kind}".encode()} for name, (kind, _) in beside.items()
+    }
+
+    def depth(name: str) -> int:
+        return 1 + max((depth(parent) for parent in above[name]), default=0)
+
+    def ancestors(name: str) -> set[str]:
+        return {name}.union(*(ancestors(parent) for parent in above[name]))
+
+    ordered = sorted(
+        set().union(*map(ancestors, member)), key=lambda g: (depth(g), inline[g][1] if g in inline else 1, g)
+    )
+    expected = "z"
+    for source in (inline, beside):
+        for name in ordered:
+            if name in source:
+                expected = source[name][0]
+    found = only(ansible(yaml.safe_dump(tree, sort_keys=False), group_vars=folders))
+    assert found.kind == ("mine" if own else expected)
+
+
 # --- both --------------------------------------------------------------------------------------------
 
 LABEL = st.from_regex(r"[a-z][a-z0-9-]{0,6}[a-z0-9]", fullmatch=True)
--- a/tests/membership/test_source.py
+++ b/tests/membership/test_source.py
@@ -178,6 +178,7 @@
                 assert s.routing() == before, cut
 
     run(test())
+    print(form, dict(caught))
     assert caught["parser"] and caught["end"] and caught["limits"] and caught["nothing is lost"]
 
 
@@ -320,6 +321,27 @@
     run(test())
 
 
+def test_what_is_out_at_a_removed_worker_runs_to_its_end(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(source_module, "read_beside", inline)
+
+    async def test() -> None:
+        async with scene(tmp_path) as s:
+            leaving = s.workers[11]
+            leaving.plan = lambda seen: stand.Reply(delay=1.0)
+            before = leaving.fleet.seen.total()
+            await until(lambda: leaving.fleet.seen.total() > before)
+            s.write(write_sheet(s.fleet(11)))
+            await s.look()
+            assert sum(leaving.fleet.out.values()) > 0  # still out when the worker is gone
+            await until(lambda: sum(leaving.fleet.out.values()) == 0)
+            served = s.served
+            await until(lambda: s.served > served + 20)  # and each of them was answered with 200
+
+    run(test())
+
+
 def test_an_address_that_moves_never_gets_the_others_requests(tmp_path: Path) -> None:
     async def test() -> None:
         async with scene(tmp_path, extra="[inventory.limits]\nfleet = 1.0\nbay = 1.0\nmoved = 1.0\n") as s:
