Inventory: a write that a coarse time stamp hides is found by one more read

On file systems with stamps of a second or two, two writes of one size can look the same. What was read is read once more after 2.5 s, and counts only if its content is other. Test: a second write under the same stamp is taken over then.

--- a/ivymux/membership/source.py
+++ b/ivymux/membership/source.py
@@ -17,6 +17,7 @@
 from ivymux.membership.keeper import Keeper
 from ivymux.membership.reader import Done, Task, read_beside
 
+COARSE = 2.5  # seconds within which two writes may bear one time stamp, on the coarsest file systems
 log = logging.getLogger("ivymux")
 Apply = Callable[[Inventory], Awaitable[None]]
 
@@ -48,6 +49,8 @@
     pending: Pending | None = None
     ignored: str = ""  # the digest of a content that was rolled back from: it counts only once it changes
     missing: bool = False
+    last_read: str = ""  # the digest of what was read last
+    again_at: float | None = None  # when it is read once more, for what its time stamps may hide
     shape: Shape = field(default_factory=Shape)  # of the file that the current list came from
 
     @property
@@ -113,6 +116,9 @@
         match self.settle.look(seen, now):
             case "read":
                 await self.read()
+            case "same" if self.again_at is not None and now >= self.again_at:
+                self.again_at = None
+                await self.read()
             case "restless":
                 log.error("inventory: %s does not come to rest: the list stays as it was", self.path)
 
@@ -124,6 +130,9 @@
         if await asyncio.to_thread(stamp, self.path) != seen:
             return  # it changed meanwhile: what was read may be half of it
         self.settle.taken()
+        if done.digest and done.digest == self.last_read:
+            return
+        self.last_read, self.again_at = done.digest, time.monotonic() + COARSE
         if done.inventory is None:
             self.pending = None
             log.error("inventory: the list stays as it was: %s", told(done, self.path))
--- a/tests/membership/test_source.py
+++ b/tests/membership/test_source.py
@@ -207,6 +207,29 @@
     run(test())
 
 
+def test_a_write_that_its_time_stamps_hide_is_found(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(source_module, "read_beside", inline)
+    monkeypatch.setattr(source_module, "stamp", lambda path: stamps[0])
+    stamps: list[object] = ["one"]
+
+    async def test() -> None:
+        async with scene(tmp_path) as s:
+            clock = [1000.0]
+            monkeypatch.setattr("ivymux.membership.source.time.monotonic", lambda: clock[0])
+            stamps[0] = "two"
+            s.write(write_sheet(s.fleet(11)))
+            await s.look()
+            assert len(s.door.host.upstream.pools) == 11
+            s.write(write_sheet(s.fleet(10)))  # within the same tick of the file system's clock
+            await s.look()
+            assert len(s.door.host.upstream.pools) == 11
+            clock[0] += source_module.COARSE
+            await s.look()
+            assert len(s.door.host.upstream.pools) == 10
+
+    run(test())
+
+
 def test_a_large_change_waits_for_its_own_confirmation(tmp_path: Path) -> None:
     async def test() -> None:
         async with scene(tmp_path) as s:
