Module: every refusal says why

Need: at full size half of what is inside the quotas is refused, and from outside nobody can tell by what: quota, ceiling, a counter that can't be asked, no room, failed attempts or too little time all looked alike but for the quota. Change: Refuse carries one of six reasons in place of the flag for the quota; statuses are as before. Measured: no decision changed (the module's tests).

--- a/ivymux/door/host.py
+++ b/ivymux/door/host.py
@@ -242,7 +242,7 @@
                 answer = Answer(last.status, last.body, last.content_type, headers=last.headers)
             elif isinstance(how, i.Refuse):
                 outcome = last.outcome if last is not None and request.may_have_run else None
-                status = self.style.refused(how.beyond, outcome)
+                status = self.style.refused(how.why is i.Why.QUOTA, outcome)
                 answer = Answer(status, retry_after=how.retry_after)
             else:
                 answer = Answer(self.style.failed(last.outcome if last is not None else None))
--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -14,7 +14,7 @@
 
 from orchidhill import apart
 from orchidhill import interface as i
-from orchidhill.interface import Effect, Outcome, Scope, State
+from orchidhill.interface import Effect, Outcome, Scope, State, Why
 
 # Tuned values: seconds, units or plain ratios.
 TICK = 0.025  # how often held work is looked at
@@ -220,7 +220,7 @@
         self.jobs[req.request] = job
         self.probe()
         # One too short to serve would be over before the next tick.
-        self.admit(job) if req.left >= MARGIN + 2 * TICK else self.refuse(job, 0.0)
+        self.admit(job) if req.left >= MARGIN + 2 * TICK else self.refuse(job, 0.0, Why.DEADLINE)
 
     def lease(self, req: i.Request, plan: i.Plan, slots: bool) -> Lease:
         lease = self.leases.get((req.customer, slots))
@@ -251,7 +251,7 @@
             if self.ripe(lease) + EPS >= units and not lease.waiters:
                 self.spend(lease, job, units)
             elif self.now < lease.denied_until:
-                self.refuse(job, lease.denied_until - self.now, beyond=True)
+                self.refuse(job, lease.denied_until - self.now, Why.QUOTA)
             elif (lease.waiting or self.may_call()) and not self.alone(lease, units):
                 lease.waiters.append(job)
                 self.ask(lease)
@@ -506,7 +506,7 @@
             lease.denied_until = self.now + wait
             refused, lease.waiters = lease.waiters, deque()
             for job in (job for job in refused if not job.closed):
-                self.refuse(job, lease.denied_until - self.now, beyond=True)
+                self.refuse(job, lease.denied_until - self.now, Why.QUOTA)
         elif lease.waiters:
             self.ask(lease)
         for job in ready:
@@ -624,7 +624,8 @@
             self.spend(lease, job, units)
             self.holding[lease.customer, lease.slots] = lease
         else:
-            self.refuse(job, self.settings.limits.max_retry_after / 2)
+            why = Why.CEILING if lease.plan.ceiling_rate and lease.apart_at else Why.COUNTER
+            self.refuse(job, self.settings.limits.max_retry_after / 2, why)
 
     def release(self, job: Job, unsent: bool) -> None:
         """Slots go back; rate credit only if the request was never sent on."""
@@ -866,15 +867,17 @@
         effect, everywhere = job.cls.effect, job.cls.scope is Scope.ALL
         harmless = effect is Effect.SAFE or (effect is Effect.KEYED and everywhere)
         if not job.out and (job.ran is None or harmless):
-            self.refuse(job, self.latency)  # by then about as much has left the fleet as is out now
+            held = all(lease in job.held for lease in job.leases)
+            why = Why.BACKENDS if job.attempts else Why.ROOM if held else Why.COUNTER
+            self.refuse(job, self.latency, why)  # by then about as much has left the fleet as is out now
         else:
             self.close(job)
             self.actions.append(i.Fail(job.req.request))
 
-    def refuse(self, job: Job, retry_after: float, beyond: bool = False) -> None:
+    def refuse(self, job: Job, retry_after: float, why: Why) -> None:
         self.close(job)
         most = self.settings.limits.max_retry_after  # told also where clients at large do not heed it
-        self.actions.append(i.Refuse(job.req.request, min(max(0.0, retry_after), most), beyond))
+        self.actions.append(i.Refuse(job.req.request, min(max(0.0, retry_after), most), why))
 
     def close(self, job: Job | None) -> None:
         """Late or repeated news changes nothing.  A slot is in use until the last attempt is over."""
--- a/orchidhill/interface.py
+++ b/orchidhill/interface.py
@@ -61,6 +61,17 @@
     FAILED = 4
 
 
+class Why(Enum):
+    """Why a request was refused."""
+
+    QUOTA = "quota"  # the counter says that its customer's quota is used up
+    CEILING = "ceiling"  # the counter can't be asked, and what a ceiling leaves here is used up
+    COUNTER = "counter"  # the counter can't be asked, or not soon enough, and the local share is used up
+    ROOM = "room"  # no backend had room in time
+    BACKENDS = "backends"  # its attempts failed, and no other may follow
+    DEADLINE = "deadline"  # it came with too little time to be served
+
+
 @dataclass(slots=True, frozen=True)
 class RequestClass:
     """A class of requests; times in seconds."""
@@ -267,11 +278,11 @@
 
 @dataclass(slots=True)
 class Refuse:
-    """Refuse a request; ``beyond`` says that it is its customer's quota that is used up."""
+    """Refuse a request; ``retry_after`` in seconds."""
 
     request: int
     retry_after: float
-    beyond: bool = False
+    why: Why = Why.ROOM
 
 
 @dataclass(slots=True)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -434,7 +434,7 @@
     ended: list[i.Action] = []
     for n in range(1, 13):
         ended += made.handle(START + n * TICK, i.Fired(1))
-    assert [a for a in ended if isinstance(a, i.Refuse)] == [i.Refuse(1, FIRST_LATENCY)]
+    assert [a for a in ended if isinstance(a, i.Refuse)] == [i.Refuse(1, FIRST_LATENCY, i.Why.COUNTER)]
 
 
 def test_the_time_out_at_the_deadline_is_answered_as_failed() -> None:
@@ -757,9 +757,9 @@
     refused = []
     for number in range(1, 40):
         refused += [a for a in play(made, counter, START, request(number)) if isinstance(a, i.Refuse)]
-    assert refused and all(r.beyond for r in refused)
+    assert refused and all(r.why is i.Why.QUOTA for r in refused)
     late = made.handle(START, request(99, left=0.01))
-    assert [a.beyond for a in late if isinstance(a, i.Refuse)] == [False]
+    assert [a.why for a in late if isinstance(a, i.Refuse)] == [i.Why.DEADLINE]
 
 
 def test_slots_are_split_evenly_where_shares_add_up() -> None:
