Module: a gateway of a large fleet keeps to a near set of 16 backends

Ruled out: connections closed early, 0 were closed as idle. Change: where more than 16 backends are listed, the 16 that rank lowest by a hash of backend and gateway are looked at first, all others only where none of those may be taken. A change of the list changes the set by those that came or went.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -43,6 +43,7 @@
 RESEND_BUDGET = 0.1  # further attempts for overdue ones, per first attempt
 COLD_SAFETY = 0.7  # part of the cold budget that is used: work per request varies
 CANDIDATES = 12  # backends looked at for an attempt: the fleet may be large
+NEAR = 16  # of a larger fleet, those to which a gateway keeps connections
 POOL = 8  # load reports kept fresh where they must be asked for
 FRESH = 1.5  # for which a report counts; older ones say no more than the fleet's mean
 UNASKED = 0.8  # strain from which only what the counter granted is let in
@@ -120,6 +121,7 @@
     silent: dict[int, float] = field(default_factory=dict)  # classes it left unanswered, and when
     cold_level: float = 0.0  # token bucket for sends while it is cold
     cold_at: float = 0.0
+    rank: int = 0  # the lowest ones are near: so every gateway has a set of its own that changes little
 
 
 @dataclass(slots=True)
@@ -157,6 +159,7 @@
         self.now, self.tick_at = 0.0, -math.inf  # when the timer that is set comes due
         self.scan_at, self.probe_at = 0.0, 0.0
         self.live: list[Backend] = []  # listed ready
+        self.near: set[int] = set()  # of a large fleet, those to go to
         # Mean of what backends report to hold; latencies and the loads that they met, fading sums.
         self.load, self.took, self.met = 0.0, FIRST_LATENCY, 1.0
         self.aim = min((c.aim for c in settings.classes), default=1.0)
@@ -650,6 +653,7 @@
             shifted = shifted or found is None or found.state is not entry.state
             if found is None:
                 found = self.backends[entry.backend] = Backend(entry, answered=self.now)
+                found.rank = mix(entry.backend, self.settings.me)
             if entry.started > found.entry.started or not found.cold_at:
                 found.latency, found.answered = self.latency, self.now
                 found.cold_level, found.cold_at = self.random.random(), self.now  # not all at once
@@ -659,6 +663,8 @@
                 del self.backends[gone.entry.backend]
             self.live = [b for b in self.backends.values() if b.state is State.READY]
             self.out = sum(len(b.out) for b in self.live)
+            near = sorted(self.live, key=lambda b: b.rank)[:NEAR]
+            self.near = {b.entry.backend for b in near} if len(self.live) > NEAR else set()
         self.pump()
 
     def allowed(self, job: Job) -> list[Backend]:
@@ -747,10 +753,16 @@
 
     def choose(self, job: Job) -> Backend | None:
         """The best of a few: those that the rules leave, drawn at random from a large fleet."""
-        best, best_score, tried = None, math.inf, job.tried[-2:]
         fits = self.allowed(job)
-        if len(fits) > CANDIDATES:
-            fits = self.random.sample(fits, CANDIDATES)
+        if self.near:
+            # A connection costs time and work at both ends; over 100 backends few requests find an open one.
+            near = [b for b in fits if b.entry.backend in self.near]
+            if (found := self.best(job, near)) or len(near) == len(fits):
+                return found
+        return self.best(job, self.random.sample(fits, CANDIDATES) if len(fits) > CANDIDATES else fits)
+
+    def best(self, job: Job, fits: list[Backend]) -> Backend | None:
+        best, best_score, tried = None, math.inf, job.tried[-2:]
         for backend in fits:
             warmth, out = self.warmth(backend), len(backend.out)
             expected = self.expected(backend) / warmth
