Module: customers of many gateways lease at once, and names are put right once

Log lines: REF t=..112.502 plan=2 lev=-28.08 tot=218.53 (true store 15.00) REF t=..097.577 plan=2 lev=456519690.68 tot=4141256192.00 fail=0.34 Lines at fault: ask (a look before each first lease of a window: at 150 gateways nearly every lease is a first one); budget and alone (4 calls a second a gateway, two at once at the most, else a request was let in or refused unasked); ask and see (lease.over from an old total, put there by all gateways at once, and forgiven by all at once: totals swing, each swing larger, as a take-off by others looks like a counter that lost its counts); share (1 for each of 150 gateways where none was denied yet). Ruled out: the counter (0 calls failed), backends (2% of attempts), processor, memory. Change, for customers that come to more gateways than their burst has units: a first lease without a look, a look first where a denial is likely, a refusal by what the look says; what flows over is added after an answer and judged again by the total it met (orchidhill/store.py), debts end with their window; a denied customer is asked for the rarer the more often it was denied; a part of a unit is not kept at one gateway. A request waits for its call while the counter is well; the pace grows by the number of gateways until its first cut. Others go on as before.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field, replace
 from hashlib import blake2b
 
-from orchidhill import apart
+from orchidhill import apart, store
 from orchidhill import interface as i
 from orchidhill.interface import Effect, Outcome, Scope, State, Why
 
@@ -26,6 +26,12 @@
 FORGET = 30.0  # idle records, and what the counter said of a customer, are dropped after this
 PACE_LEAST, PACE_PART = 60.0, 0.01  # calls a second while it answers nothing: enough to see it come back
 PACE_UP = 1.01  # factor on the pace for each quick answer while it binds
+PACE_FIRST = 8.0  # and at the most this many times as fast, by the gateways, until the first cut
+BURST = 4.0  # calls at once, besides what the pace gives in a few ticks: few requests come unevenly
+LIKELY = 0.5  # odds of a lease below which a look goes before it
+FRESH_TOTAL = 0.005  # seconds for which a look counts
+MOST_WAIT = 1.0  # seconds, or that in which two units come, after which a refused customer is asked for anew
+CALL_WAIT = 0.1  # part of its class's aim for which a request waits until a call may be made
 PACE_CUT = 0.88  # and for each call that fails or takes half its time-out
 NEWEST = 0.3  # weight of the newest grant or denial, the newest report, a reported against an own attempt
 TARGET = 0.5  # latency aimed at, as a share of the class's aim
@@ -76,6 +82,7 @@
     credits: float = 0.0
     unripe: float = 0.0  # of the credits, leased when the store did not hold them: they come with time
     unripe_at: float = 0.0
+    wide: bool = False  # the customer comes to more gateways than it may lease units at once
     epoch: int = -1  # spans passed
     asked: float = 0.0  # the batch of the lease in flight
     waiting: bool = False  # whether one is
@@ -83,7 +90,6 @@
     mine: float = 0.0  # what the counter confirmed of my adds to this window
     odds: float = 1.0  # share of this customer's leases that were granted
     owed: float = 0.0  # to be added yet: let in unasked, flowed over, lacking at the edge
-    over: float = 0.0  # of the lease in flight, what the store had flowed over by
     seed: float = 0.0  # what it lacked at the edge, until it is known to be on the window's name
     lapsed: float = 0.0  # credit that lapsed there, until then
     met: bool = False  # whether the counter has answered in this window
@@ -107,6 +113,18 @@
     waiters: deque[Job] = field(default_factory=deque)
 
 
+@dataclass(slots=True)
+class Call:
+    """A call to the counter that has no answer yet."""
+
+    lease: Lease
+    window: int
+    amount: float
+    gives: bool  # asks for nothing
+    number: int  # 0: it may not be made again
+    fix: float = 0.0  # of the amount, what puts the name right
+
+
 @dataclass(slots=True)
 class Backend:
     entry: i.Entry
@@ -151,7 +169,8 @@
         self.jobs: dict[int, Job] = {}
         self.queue: list[Job] = []
         self.leases: dict[tuple[int, bool], Lease] = {}  # the one touched last at the end
-        self.calls: dict[int, deque[tuple[Lease, int, float, bool, int]]] = {}
+        self.calls: dict[int, deque[Call]] = {}
+        self.wanting: deque[Lease] = deque()  # whose requests wait until a call may be made
         self.serial = mix(seed) >> 16  # of calls that may be made again
         self.sent: dict[tuple[int, int], float] = {}  # attempts out, oldest first
         self.flying = 0  # jobs with attempts out
@@ -237,6 +256,7 @@
             phase = mix(req.customer) / 2**64 * length
             size = math.log(max(1.0, base / width))  # a new customer's first lease is its share
             lease = Lease(req.customer, plan, width, req.first, slots, length, phase, base, span, size)
+            lease.wide = width > base and not slots
             # After a restart: no full share.  A client's repeat was refused elsewhere just now.
             lease.bucket, lease.bucket_at = 0.0 if req.is_retry else 1.0, self.now
         self.leases.pop((req.customer, slots), None)
@@ -255,9 +275,14 @@
                 self.spend(lease, job, units)
             elif self.now < lease.denied_until:
                 self.refuse(job, lease.denied_until - self.now, Why.QUOTA)
-            elif (lease.waiting or self.may_call()) and not self.alone(lease, units):
+            elif self.alone(lease, units):
+                self.admit_alone(lease, job, units)
+            elif lease.waiting or self.may_call():
                 lease.waiters.append(job)
                 self.ask(lease)
+            elif lease.waiters or self.worth_waiting(lease, job):
+                self.wanting.append(lease) if not lease.waiters else None
+                lease.waiters.append(job)
             else:
                 self.admit_alone(lease, job, units)
             if lease not in job.held:
@@ -330,26 +355,37 @@
         batch = 1.0 if lease.slots else float(round(min(math.exp(lease.size), self.store(lease))))
         lease.asked = max(need, 1.0, batch)
         lease.waiting = True
-        lease.over = 0.0
-        if not lease.slots and (not lease.met or lease.apart_at or lease.doubts):
+        if not lease.slots and (lease.apart_at or lease.doubts or self.unsure(lease)):
             return self.look(lease)
-        if not lease.slots:
-            lease.over = max(0.0, self.level(lease) - lease.plan.burst)
-        self.count(lease, lease.asked + lease.owed + lease.over, gives=False)
+        # What the store flowed over by goes along, but where many would all bring it.
+        over = 0.0 if lease.slots or lease.wide else max(0.0, self.level(lease) - lease.plan.burst)
+        self.count(lease, lease.asked + lease.owed + over, gives=False, fix=over)
         lease.owed = 0.0
 
+    def unsure(self, lease: Lease) -> bool:
+        """Whether a look goes before a lease.  A customer of few gateways is met often, and its window's name
+        is looked at once.  One that goes to more of them than its burst has units hardly meets one twice: a
+        look doubles its calls.  But one that is denied has to be taken off again: who may be, looks first.
+        """
+        if not lease.wide:
+            return not lease.met
+        if not lease.met and abs(lease.owed) > DRIFT:
+            return True
+        doubtful = lease.odds < LIKELY or (not lease.met and all(job.req.is_retry for job in lease.waiters))
+        return doubtful and self.now - lease.checked >= FRESH_TOTAL
+
     def look(self, lease: Lease) -> None:
         """A call that adds nothing new: what the others have put there since the window began is not known
         yet.  And one without an answer may have been added or not: while none comes nothing more is put at
         stake, and what is in doubt is made again, where that counts once.
         """
-        lease.asked, lease.over, lease.waiting = 0.0, 0.0, True
+        lease.asked, lease.waiting = 0.0, True
         self.count(lease, 0.0, gives=False)
         if lease.doubts:
             (amount, number), call = lease.doubts[0], self.actions[-1]
             assert isinstance(call, i.Count)
             self.actions[-1] = replace(call, amount=amount, call=number)
-            self.calls[call.name][-1] = lease, lease.window, 0.0, False, number
+            self.calls[call.name][-1] = Call(lease, lease.window, 0.0, False, number)
 
     def level(self, lease: Lease) -> float:
         """What the customer's store holds, the same for all gateways that have seen the same total: it was
@@ -357,7 +393,7 @@
         name.  So is what it flows over by: where each gateway kept that to itself their levels drifted
         apart, one let in too much and another refused with a full store.  It does harm where a gateway
         dies between putting too much there and taking it off again: it is missing until the edge, or
-        until `see` puts it right.
+        until `put_right` forgives it.
         """
         since = self.now + lease.phase - lease.window * lease.length
         return lease.plan.burst + since * lease.plan.rate - lease.total - lease.owed
@@ -365,9 +401,9 @@
     def store(self, lease: Lease) -> float:
         return min(lease.plan.burst, self.level(lease))
 
-    def see(self, lease: Lease, answer: i.Counted, amount: float, later: float, gives: bool) -> None:
-        """A total of this window, with `amount` that I added; `later` is what I have out behind it."""
-        total, before = answer.total, lease.mine
+    def see(self, lease: Lease, answer: i.Counted, call: Call, later: float) -> None:
+        """A total of this window, with what `call` added; `later` is what I have out behind it."""
+        total, before, amount = answer.total, lease.mine, call.amount
         fresh = lease.met and lease.born != answer.born != 0 != lease.born
         lease.born = answer.born or lease.born
         lease.mine += amount
@@ -393,45 +429,55 @@
             self.actions.append(i.Log("counter-split: others counted there meanwhile"))
         lease.met, lease.total, lease.told = True, total + later, total
         lease.checked = self.now
-        if lease.slots or gives:
+        if not lease.slots:
+            self.put_right(lease, call)
+        owes = amount and abs(lease.owed) >= max(DRIFT, GRAIN * total)
+        if owes and not (lease.slots or call.gives) and self.may_call():
+            owed, lease.owed = lease.owed, 0.0
+            self.count(lease, owed, gives=True)
+
+    def put_right(self, lease: Lease, call: Call) -> None:
+        """Add what the store has flowed over by; mine is taken off again where another did so first."""
+        before = self.level(lease) + call.fix + (0.0 if call.gives else lease.asked)
+        if call.gives:
+            return None if store.stands(lease.plan, call.fix, before) else self.give_back(lease, call.fix)
+        if lease.wide:
+            if (over := store.over(lease.plan, before)) and self.may_call():
+                self.count(lease, over, gives=True, fix=over)
             return
         # Leases take no more than there is.  What is missing beyond those that are out, and a burst, was put
         # there in error, by whoever died or heard nothing before it was taken off again.  Where requests
         # were let in unasked for long it forgives some.
-        before = self.level(lease) + lease.asked + lease.over
         if before < -lease.plan.burst - 2 * lease.width:
             lease.owed += before
-        if not amount:
-            return
-        # The others may have put some of what flowed over there before me, or more has than I knew.
-        lease.owed += max(0.0, before - lease.plan.burst) - lease.over
-        if abs(lease.owed) >= max(DRIFT, GRAIN * total) and self.may_call():
-            owed, lease.owed = lease.owed, 0.0
-            self.count(lease, owed, gives=True)
+        if call.amount:  # the others may have put some there before me, or more has flowed over than I knew
+            lease.owed += max(0.0, before - lease.plan.burst) - call.fix
 
-    def miss(self, lease: Lease, amount: float, gives: bool, added: bool, number: int) -> None:
+    def miss(self, lease: Lease, call: Call, added: bool) -> None:
         """A call failed.  One without an answer most likely was added, as a crowded counter works on.  For
         what was to be taken off that is not relied on, as it would be missing until the edge; taken off
         twice, the store is full sooner, and flows over.
         """
         self.part(lease)
+        amount = call.amount
         lease.shaky += min(0.0, amount)
-        if added and number:
-            lease.doubts.append((amount, number))
+        if added and call.number:
+            lease.doubts.append((amount, call.number))
             self.holding[lease.customer, lease.slots] = lease
         if not added:
             lease.total -= amount
-            lease.owed += amount - (0.0 if gives else lease.asked + lease.over)
-        elif not gives and not lease.slots:
+            lease.owed += amount - call.fix - (0.0 if call.gives else lease.asked)
+        elif not call.gives and not lease.slots:
             lease.owed -= lease.asked  # of no use here any more
             lease.seed = lease.lapsed = 0.0
 
-    def count(self, lease: Lease, amount: float, gives: bool) -> None:
+    def count(self, lease: Lease, amount: float, gives: bool, fix: float = 0.0) -> None:
         name = mix(lease.customer, lease.window, lease.slots)
-        again = amount > 0 and lease.born > 0 and not lease.slots
+        again = amount > 0 and lease.born > 0 and not lease.slots and not fix
         self.serial += again
         number = self.serial if again else 0
-        self.calls.setdefault(name, deque()).append((lease, lease.window, amount, gives, number))
+        call = Call(lease, lease.window, amount, gives, number, fix)
+        self.calls.setdefault(name, deque()).append(call)
         lease.total += amount
         self.actions.append(i.Count(name, amount, min(60.0, 4 * lease.length), number))
         self.calls_left, self.calls_at = self.budget() - 1, self.now
@@ -440,25 +486,29 @@
         pending = self.calls.get(event.name)
         if not pending:
             return
-        lease, window, amount, gives, number = pending.popleft()
+        call = pending.popleft()
+        lease, amount = call.lease, call.amount
         if not pending:
             del self.calls[event.name]
         good = event.outcome is Outcome.OK
         self.judge_counter(event)
         self.roll(lease)
-        current = window == lease.window
-        if good and current and number and not amount:
+        current = call.window == lease.window
+        if good and current and call.number and not amount:
             lease.doubts.pop(0)  # it counts now, once
         if good and current:
-            self.see(lease, event, amount, sum(call[2] for call in pending), gives)
+            self.see(lease, event, call, sum(c.amount for c in pending))
         elif current:
-            self.miss(lease, amount, gives, amount > 0 and not event.outcome.never_ran, number)
+            self.miss(lease, call, amount > 0 and not event.outcome.never_ran)
         if good:
             lease.apart_at = 0.0
-        if gives:
+        if call.gives:
             return
         lease.waiting = False
-        if not current or (good and not lease.asked):  # the batch lapsed with its window, or it only looked
+        if good and current and lease.wide and not lease.asked and self.spent(lease):
+            lease.odds += NEWEST * (0 - lease.odds)
+            self.serve(lease, denied=True)
+        elif not current or (good and not lease.asked):  # the batch lapsed with its window, or it only looked
             self.ask(lease) if lease.waiters else None
         elif good:
             self.settle(lease)
@@ -469,14 +519,21 @@
                 if lease in job.held:
                     self.admit(job)
 
+    def spent(self, lease: Lease) -> bool:
+        """Whether the store, as just looked at, holds nothing for whoever waits."""
+        if not lease.waiters or lease.doubts or lease.owed < -DRIFT:
+            return False
+        return self.level(lease) + lease.credits + EPS < self.units(lease, lease.waiters[0])
+
     def settle(self, lease: Lease) -> None:
         """Keep what fits and serve the waiters; the rest stays added (a full window), but for slots."""
         first = self.units(lease, lease.waiters[0]) if lease.waiters else 1.0
         excess = max(0.0, lease.total - lease.base if lease.slots else -self.level(lease))
         grant = max(0.0, lease.asked - excess)
         if not lease.slots and excess > EPS:
-            # Units that are missing by less than one come with time, and wait here for it.
-            grant = min(lease.asked, math.ceil(grant - EPS))
+            # Units that are missing by less than one come with time, and wait here for it, unless a customer
+            # comes to so many gateways that another one needs them first.
+            grant = min(lease.asked, math.floor(grant + EPS) if lease.wide else math.ceil(grant - EPS))
             lease.unripe, lease.unripe_at = max(0.0, excess - (lease.asked - grant)), self.now
         elif excess > EPS:
             grant = math.floor((grant + lease.credits) / first + EPS) * first - lease.credits
@@ -505,7 +562,10 @@
             missing = (lease.waiters[0].req.units if lease.waiters else 1.0) - self.ripe(lease)
             if lease.credits < EPS:
                 missing = max(missing, 1.0 - self.level(lease))
+            # What comes is for all its gateways: the more often it was denied, the rarer it is asked for.
             wait = 2 * TICK if lease.slots else max(0.0, missing) / lease.plan.rate
+            if lease.wide:
+                wait = min(wait / max(lease.odds, 0.1), max(MOST_WAIT, 2 / lease.plan.rate))
             lease.denied_until = self.now + wait
             refused, lease.waiters = lease.waiters, deque()
             for job in (job for job in refused if not job.closed):
@@ -532,7 +592,8 @@
             if self.pace < self.steady / 2:
                 self.pace *= 2
             elif self.budget() < 1.0:
-                self.pace *= PACE_UP
+                first = 1.0 if self.cut_at else min(PACE_FIRST, max(1.0, self.peers / 8))
+                self.pace *= PACE_UP**first
                 self.steady = max(self.steady, self.pace)
         elif not (away or slow or event.outcome is Outcome.FULL):
             return
@@ -542,7 +603,7 @@
 
     def budget(self) -> float:
         """Counter calls that may be made now."""
-        most = 2 + self.pace * TICK * 4
+        most = BURST + self.pace * TICK * 4
         return min(most, self.calls_left + (self.now - self.calls_at) * self.pace)
 
     def may_call(self) -> bool:
@@ -559,7 +620,30 @@
         lack what the others have yet to bring back.
         """
         lacks = not lease.met and self.tally.unsettled(self.now)
-        return lacks or (not self.spare() and self.fits(lease, units))
+        many = self.pace * TICK * 4 > BURST  # else a request can wait for its turn
+        return lacks or (many and not self.spare() and self.fits(lease, units))
+
+    def worth_waiting(self, lease: Lease, job: Job) -> bool:
+        """Whether a call may be made for it soon, by a counter that answers: a gateway of many has few calls
+        a second, and they are asked for unevenly.  A client's repeat where nothing is known of the customer
+        was most likely refused for its quota just now: while calls are short they are for the others.
+        """
+        again = job.req.is_retry and lease.wide and not lease.met
+        if again or self.tally.seen is not apart.Seen.WELL or not self.pace:
+            return False
+        wait = (len(self.wanting) + 1 - self.budget()) / self.pace
+        return wait < min(CALL_WAIT * job.cls.aim, job.end - self.now - 4 * TICK)
+
+    def call_waiting(self) -> None:
+        """Calls for those that wait for one, the longest first."""
+        for _ in range(len(self.wanting)):
+            if not self.may_call() and self.tally.seen is apart.Seen.WELL:
+                break
+            lease = self.wanting.popleft()
+            self.roll(lease)
+            waiters, lease.waiters = lease.waiters, deque()
+            for job in (job for job in waiters if not job.closed):
+                self.admit(job)
 
     def share(self, lease: Lease) -> float:
         """The part of a quota to use unasked.  Under a ceiling, and where what is beyond the quota is dear,
@@ -572,7 +656,7 @@
             part = 1 / width if lease.slots else lease.part  # of slots it is not known who had them
             return apart.share(width, part) * apart.fade(age)
         ratio = plan.over_cost / (1 + plan.over_cost)
-        if self.now - lease.checked < FORGET:
+        if self.now - lease.checked < FORGET and not lease.wide:
             ratio *= 1 - lease.odds
         return 1 / (1 + (width - 1) * ratio)
 
@@ -927,6 +1011,7 @@
             if hopeless or self.now > job.end - MARGIN - TICK:
                 self.end(job)
         self.queue = [job for job in self.queue if not job.closed]
+        self.call_waiting()
         self.pump()
         self.rescue()
         if self.now >= self.scan_at:
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
+
+import pytest
 
 from orchidhill import interface as i
 from orchidhill.gateway import NEAR, Gateway
+from standins.fleet import Fleet
 from tests.helpers import START, Counter, done, entry, gateway, play, request, sends
 
 FLEET = [entry(n, cell=n % 9) for n in range(1, 101)]
@@ -44,3 +48,85 @@
         last = done(rid, again, i.Outcome.OK, attempt=1, closed=True)
         play(made, counter, START + rid + 0.2, last)
     assert len(made.near) == NEAR
+
+
+# --- leases of customers that come to more gateways than their burst has units ------------------
+
+
+def wide(rid: int, again: bool = False) -> i.Request:
+    return replace(request(rid), width=100, is_retry=again)
+
+
+def crowd(count: int) -> list[Gateway]:
+    return [gateway(me=str(n), peers_total="100") for n in range(count)]
+
+
+def at_once(gateways: list[Gateway], counter: Counter, events: list[i.Event], now: float) -> list[i.Action]:
+    """Each round all gateways' calls reach the counter before any hears of the others'."""
+    seen: list[i.Action] = []
+    calls = [(made, made.handle(now, event)) for made, event in zip(gateways, events, strict=True)]
+    while any(isinstance(a, i.Count) for _, found in calls for a in found):
+        seen += [a for _, found in calls for a in found]
+        answers = [(m, counter.answer(a)) for m, found in calls for a in found if isinstance(a, i.Count)]
+        calls = [(made, made.handle(now, answer)) for made, answer in answers]
+    return seen + [a for _, found in calls for a in found]
+
+
+def level(made: Gateway, counter: Counter, now: float) -> float:
+    """What the name of the one customer says that its store of 8 units, 4 a second, holds."""
+    (lease,) = made.leases.values()
+    since = now + lease.phase - lease.window * lease.length
+    return 8.0 + 4.0 * since - sum(counter.totals.values())
+
+
+def test_what_flowed_over_is_added_once_however_many_add_it() -> None:
+    counter, gateways = Counter(), crowd(6)
+    found = at_once(gateways, counter, [wide(n) for n in range(6)], START)
+    assert len(sends(found)) == 6
+    assert level(gateways[0], counter, START) == pytest.approx(8.0 - 6, abs=0.1)
+
+
+def test_totals_of_a_debt_stay_what_they_are_however_many_see_it() -> None:
+    """Forgiven by all that saw it, it left less than each had added: all brought theirs back, without end."""
+    counter, gateways = Counter(), crowd(6)
+    at_once(gateways, counter, [wide(n) for n in range(6)], START)
+    for name in counter.totals:
+        counter.totals[name] += 60.0
+    for later in (1.0, 2.0, 3.0):
+        at_once(gateways, counter, [wide(int(10 * later) + n) for n in range(6)], START + later)
+    assert level(gateways[0], counter, START + 3.0) == pytest.approx(8.0 - 6 - 60.0 + 12.0, abs=0.1)
+
+
+def test_a_customer_met_for_the_first_time_costs_one_call_and_a_clients_repeat_a_look() -> None:
+    counter, (one, other) = Counter(), crowd(2)
+    (first,) = (a for a in one.handle(START, wide(1)) if isinstance(a, i.Count))
+    (again,) = (a for a in other.handle(START, wide(2, again=True)) if isinstance(a, i.Count))
+    assert first.amount == 1.0 and again.amount == 0.0
+    # The store is empty: the repeat is refused by what its look says, and nothing has to be taken off again.
+    counter.totals[again.name] = 8.0 + 4.0 * 20.0
+    found = other.handle(START, counter.answer(again))
+    assert [a.why for a in found if isinstance(a, i.Refuse)] == [i.Why.QUOTA]
+    assert not [a for a in found if isinstance(a, i.Count)]
+
+
+def test_a_request_waits_for_its_call_where_a_gateway_has_few() -> None:
+    """200 gateways share 800 calls a second: what comes at once is neither refused nor let in unasked."""
+    made, counter = gateway(peers_total="200", extra__counter_timeout_s="0.08"), Counter()
+    made.room = 10.0
+    found: list[i.Action] = []
+    for n in range(3):
+        found += play(made, counter, START, replace(request(n, customer=n), width=100))
+    assert len(sends(found)) < 3 and not [a for a in found if isinstance(a, i.Refuse)]
+    now = START
+    while made.wanting and now < START + 4.0:
+        now += 0.025
+        found += play(made, counter, now, i.Fired(1))
+    assert len(sends(found)) == 3 and counter.calls >= 3 and START < now < START + 1.0
+
+
+@pytest.mark.parametrize("doors", [4, 64])
+def test_a_fleet_serves_what_is_inside_the_quotas(doors: int) -> None:
+    played = Fleet(doors, workers=60, use=0.6).run(4.0)
+    assert played.served >= 0.96 * played.offered
+    assert played.beyond <= 0.12 * played.all_sent
+    assert played.refused["quota"] >= 0.6 * played.refused.total()
