--- a/ivymux/door/host.py
+++ b/ivymux/door/host.py
@@ -13,6 +13,8 @@
 
 from ivymux.door.front import Answer, Call
 from ivymux.door.limits import Address
+from ivymux.door.refusals import FAILED
+from ivymux.door.told import Told
 from ivymux.door.upstream import Attempt, Result, Upstream
 from orchidhill import interface as i
 from orchidhill.gateway import Gateway
@@ -48,7 +50,7 @@
 
 
 class Host:
-    def __init__(self, gateway: Gateway, upstream: Upstream) -> None:
+    def __init__(self, gateway: Gateway, upstream: Upstream, told: Told | None = None) -> None:
         self.gateway, self.upstream, self.style = gateway, upstream, upstream.style
         self.counter: Counter | None = None
         self.unix: Callable[[], float] = time.time  # or the clock of a tally that front doors share
@@ -61,6 +63,7 @@
         self.number = 0
         self.unknown: set[str] = set()  # kinds of action that were logged as not supported
         self.waiting = 0  # requests without their answer
+        self.told = told or Told()
 
     # --- events in ---------------------------------------------------------------------------------
 
@@ -133,6 +136,7 @@
         for attempt in list(request.out.values()):
             attempt.give_up(Outcome.TIMEOUT)
         if not request.settled:  # what never ran may have been answered just now
+            self.told.refused(FAILED)
             self.settle(request, Answer(504))
             self.post(i.Left(request.number))
             self.drop(request)
@@ -141,6 +145,7 @@
         """The process is about to end: what is still held gets its final answer."""
         for request in list(self.table.values()):
             self.overdue(request)
+        self.told.tell()
 
     def members(self, members: i.Members, addresses: dict[int, Address]) -> None:
         if members.listing is not i.Listing.DELTA:
@@ -237,6 +242,7 @@
         """Refuse or fail a request; what its worker said last goes before a wording of our own."""
         request = self.table.get(number)
         if request is not None and not request.settled:
+            self.told.refused(how.why.value if isinstance(how, i.Refuse) else FAILED)
             last = request.last
             if last is not None and last.outcome is Outcome.ERROR and last.status:
                 answer = Answer(last.status, last.body, last.content_type, headers=last.headers)
--- /dev/null
+++ b/ivymux/door/refusals.py
@@ -0,0 +1,40 @@
+"""What requests were refused for: counts, and the one line of log that tells them.  Pure.
+
+A refusal is counted under its cause; nothing is logged for each.  A line comes at most once in `SPAN`, only
+after refusals, and holds the counts since the start and those since the line before, so that shares over any
+span can be made from a log (docs/operators/refusals.md).
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from orchidhill.interface import Why
+
+SPAN = 60.0  # seconds
+DOOR = "door"  # the front door's own limits on bodies, requests and connections
+FAILED = "failed"  # answered as failed: an attempt may have run, and none may follow
+CAUSES = (*(why.value for why in Why), DOOR, FAILED)
+
+
+class Refusals:
+    """Counts by cause, since the start."""
+
+    def __init__(self) -> None:
+        self.counts: Counter[str] = Counter()
+        self.told: Counter[str] = Counter()
+        self.news = False  # whether any came since the last line
+
+    def count(self, cause: str) -> bool:
+        """Count one; whether it is the first since the last line, so that one is due in `SPAN`."""
+        first, self.news = not self.news, True
+        self.counts[cause] += 1
+        return first
+
+    def line(self) -> str:
+        """`refused: quota=12 (+3) room=1 (+0)`, causes in a fixed order; empty where there is nothing new."""
+        if not self.news:
+            return ""
+        parts = [f"{c}={self.counts[c]} (+{self.counts[c] - self.told[c]})" for c in CAUSES if self.counts[c]]
+        self.told, self.news = self.counts.copy(), False
+        return "refused: " + " ".join(parts)
--- a/ivymux/door/server.py
+++ b/ivymux/door/server.py
@@ -14,6 +14,8 @@
 from ivymux.door.front import Answer, BadRequest, Call, Front
 from ivymux.door.host import Host, Open
 from ivymux.door.limits import Address, Bounds
+from ivymux.door.refusals import DOOR
+from ivymux.door.told import Told
 
 MOST_HEAD = 16 * 1024
 MOST_STRAY = 1024  # bytes, such as empty lines, that belong to no request
@@ -203,7 +205,7 @@
             self.take(exchange)
         except BadRequest as error:
             exchange.keep_alive = exchange.keep_alive and not self.server.front.close_refused
-            exchange.reply(self.server.front.refusal(error))
+            exchange.reply(self.server.refusal(error))
         except Exception:
             log.exception("a request could not be taken")
             if exchange.answer is None:
@@ -217,7 +219,7 @@
             return
         if len(server.clients) > server.most_clients:
             exchange.keep_alive = False
-            exchange.reply(server.front.refusal(BadRequest("too many connections", 503)))
+            exchange.reply(server.refusal(BadRequest("too many connections", 503)))
             return
         call = server.front.take(
             self.parser.get_method(), self.url, self.headers, self.body, self.began, self.peer
@@ -280,7 +282,7 @@
                 self.stand(None)  # the answers before it have their own time limits
             exchange = Exchange(self, keep_alive=False)
             self.pending.append(exchange)
-            exchange.reply(self.server.front.refusal(error))
+            exchange.reply(self.server.refusal(error))
 
     def end(self) -> None:
         """End sending; read on for a moment, as a reset on unread bytes could overtake the answer."""
@@ -321,6 +323,13 @@
         self.stopping = False
         self.server: asyncio.Server | None = None
         self.timer = self.loop.call_later(SWEEP, self.sweep)
+        self.told = host.told if host is not None else Told()
+
+    def refusal(self, error: BadRequest) -> Answer:
+        """The answer to what can't be taken; counted where that is for limits of this front door."""
+        if error.status == 503:
+            self.told.refused(DOOR)
+        return self.front.refusal(error)
 
     async def start(self) -> None:
         self.server = await self.loop.create_server(
--- a/ivymux/hosting/door.py
+++ b/ivymux/hosting/door.py
@@ -13,6 +13,7 @@
 
 from ivymux.desired.model import DoorStore, Gone, Report, Stored, StoreError
 from ivymux.door.limits import HELD_PART, Address, Bounds, ConfigError
+from ivymux.door.told import Told
 from ivymux.hosting.counts import Shared, SharedCounter
 from ivymux.hosting.lookups import LookUps
 from ivymux.hosting.resident import Resident, Terms, Unserved
@@ -54,7 +55,7 @@
             hosting.file.name, hosting.file.tally.doors, limits.body_kb * 1024, answer,
             max(answer, int(limits.memory_mb * MOST_ANSWERS * (1 << 20)) // 4),
             min(limits.tenant_upstream, bounds.upstream), tuple(hosting.file.trusted_proxies),
-            places=hosting.places, lookups=self.lookups,
+            places=hosting.places, lookups=self.lookups, told=Told(),
         )  # fmt: skip
         self.tally: TallyServer | None = None  # that runs here
         self.shares = Shares()
@@ -64,6 +65,7 @@
         unread = max(8, int(limits.memory_mb * HELD_PART * (1 << 20)) // answer)
         self.front = HostedFront(limits.body_kb * 1024, unread, lambda: not self.server.stopping)
         self.server = HostedServer(self.front, hosting.listen, bounds, self.shares, self.hosts)
+        self.server.told = self.terms.told or self.server.told
         self.revision = -1  # up to which the desired state is followed
         self.lineage = ""
         self.problems: dict[str, str] = {}  # by uid
--- a/ivymux/hosting/resident.py
+++ b/ivymux/hosting/resident.py
@@ -13,6 +13,7 @@
 from ivymux.door.host import Host
 from ivymux.door.limits import Address
 from ivymux.door.style import Style
+from ivymux.door.told import Told
 from ivymux.door.upstream import Upstream
 from ivymux.hosting.counts import Shared, TenantCounter
 from ivymux.hosting.lookups import LookUps
@@ -61,6 +62,7 @@
     unix: Callable[[], float] = time.time  # the clock that these have in common
     places: Places = ANYWHERE  # where workers may be
     lookups: LookUps | None = None  # None: the system's, for one tenant alone
+    told: Told | None = None  # refusals of all tenants; None: each tenant's own
 
 
 @dataclass(slots=True)
@@ -242,7 +244,7 @@
         told = replace(
             settings(site, ()), me=terms.number, peers=terms.doors, counter_timeout=terms.counter_timeout
         )
-        host = Host(Gateway(told, secrets.randbits(64)), upstream)
+        host = Host(Gateway(told, secrets.randbits(64)), upstream, terms.told)
         if terms.counter is not None:
             host.counter = TenantCounter(terms.counter, self.uid, host.post)
             host.unix = terms.unix
--- a/ivymux/hosting/server.py
+++ b/ivymux/hosting/server.py
@@ -8,6 +8,7 @@
 
 from ivymux.door.front import Answer, BadRequest, Call, Headers
 from ivymux.door.limits import Address, Bounds
+from ivymux.door.refusals import DOOR
 from ivymux.door.server import Client, Exchange, Server
 from ivymux.hosting.resident import Resident
 from ivymux.service.callers import Caller
@@ -187,6 +188,7 @@
             assert self.stranger is not None
             raise self.stranger
         if wait := server.shares.ask(share, time.monotonic()):
+            server.told.refused(DOOR)
             exchange.reply(server.hosted.beyond(wait))
             return
         try:
