Module: who leaves gives back what is leased and not spent

Need: front doors that restart a tenth at a time took their unspent leases with them; those are missing to the others until the window's edge, 20 s at most. Change: the event Leaving, posted after the last answer: credits go back and debts are paid, if the counter is well.

--- a/ivymux/door/host.py
+++ b/ivymux/door/host.py
@@ -145,6 +145,7 @@
         """The process is about to end: what is still held gets its final answer."""
         for request in list(self.table.values()):
             self.overdue(request)
+        self.post(i.Leaving())
         self.told.tell()
 
     def members(self, members: i.Members, addresses: dict[int, Address]) -> None:
--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -218,6 +218,8 @@
                 self.on_classes(event.classes)
             case i.Late():
                 self.tally.late_at = now
+            case i.Leaving():
+                self.leave()
         self.set_timer()
         return self.actions
 
@@ -375,9 +377,8 @@
         return doubtful and self.now - lease.checked >= FRESH_TOTAL
 
     def look(self, lease: Lease) -> None:
-        """A call that adds nothing new: what the others have put there since the window began is not known
-        yet.  And one without an answer may have been added or not: while none comes nothing more is put at
-        stake, and what is in doubt is made again, where that counts once.
+        """A call that adds nothing new, where it is not known what the others have put there.  One without an
+        answer may have been added or not: what is in doubt is made again, where that counts once.
         """
         lease.asked, lease.waiting = 0.0, True
         self.count(lease, 0.0, gives=False)
@@ -409,8 +410,7 @@
         lease.mine += amount
         lost = lease.mine - total
         if fresh or lost > max(0.01, GRAIN * lease.mine):
-            # The counter lost this name, or another one answers: what I know of goes back, all of it where
-            # totals tell of the others.  Who comes first brings it; the others find it there.
+            # It lost this name, or another one answers: what I know of goes back, of the others too, once.
             self.actions.append(i.Log(f"counter-lost customer={lease.customer}"))
             if fresh:
                 self.tally.replaced_at = self.now
@@ -445,9 +445,8 @@
             if (over := store.over(lease.plan, before)) and self.may_call():
                 self.count(lease, over, gives=True, fix=over)
             return
-        # Leases take no more than there is.  What is missing beyond those that are out, and a burst, was put
-        # there in error, by whoever died or heard nothing before it was taken off again.  Where requests
-        # were let in unasked for long it forgives some.
+        # What is missing beyond leases that are out, and a burst, was put there in error: who did so died, or
+        # heard nothing before taking it off.  Where requests were let in unasked for long some is forgiven.
         if before < -lease.plan.burst - 2 * lease.width:
             lease.owed += before
         if call.amount:  # the others may have put some there before me, or more has flowed over than I knew
@@ -519,8 +518,7 @@
                 if lease in job.held:
                     self.admit(job)
 
-    def spent(self, lease: Lease) -> bool:
-        """Whether the store, as just looked at, holds nothing for whoever waits."""
+    def spent(self, lease: Lease) -> bool:  # whether the store, as just seen, holds nothing for who waits
         if not lease.waiters or lease.doubts or lease.owed < -DRIFT:
             return False
         return self.level(lease) + lease.credits + EPS < self.units(lease, lease.waiters[0])
@@ -614,10 +612,9 @@
         return self.budget() > 1 + self.pace * TICK * 2
 
     def alone(self, lease: Lease, units: float) -> bool:
-        """Whether a request is put to the local share though a call could be made: while calls are short, who
-        is within it leaves them to others, and it is added with the next lease; that may hurt a customer that
-        is busy at its other gateways.  And where the tally was replaced just now: a customer's new name may
-        lack what the others have yet to bring back.
+        """Whether the local share decides though a call could be made: where calls are short, which may hurt
+        who is busy at its other gateways, and where the tally was replaced just now, as a new name may lack
+        what the others have yet to bring back.
         """
         lacks = not lease.met and self.tally.unsettled(self.now)
         many = self.pace * TICK * 4 > BURST  # else a request can wait for its turn
@@ -1069,6 +1066,14 @@
                 del self.holding[key]
         self.forget()
 
+    def leave(self) -> None:
+        """What is leased and not spent goes back, and what is owed is paid: nobody asks here again."""
+        for lease in [held for held in self.holding.values() if self.tally.seen is apart.Seen.WELL]:
+            self.roll(lease)
+            rest, lease.credits, lease.owed = lease.owed - lease.credits, 0.0, 0.0
+            if abs(rest) > EPS and not lease.slots:
+                self.count(lease, rest, gives=True)
+
     def pay(self, lease: Lease) -> None:
         """Add what a customer owes, once its counter answers; a look goes first, as before a lease."""
         if not self.spare() or self.tally.seen is not apart.Seen.WELL:
--- a/orchidhill/interface.py
+++ b/orchidhill/interface.py
@@ -264,7 +264,13 @@
     name: int
 
 
-Event = Members | Request | UnderWay | Finished | Left | Fired | Probed | PeerSays | Counted | Classes | Late
+@dataclass(slots=True)
+class Leaving:
+    """The process is about to end, with all requests answered."""
+
+
+News = Members | UnderWay | Finished | Probed | PeerSays | Counted | Late
+Event = News | Request | Left | Fired | Classes | Leaving
 
 
 @dataclass(slots=True)
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -124,6 +124,22 @@
     assert len(sends(found)) == 3 and counter.calls >= 3 and START < now < START + 1.0
 
 
+def test_a_gateway_that_leaves_gives_back_what_it_has_not_spent_and_pays_what_it_owes() -> None:
+    counter, made = Counter(), gateway()
+    for rid in range(4):
+        for send in sends(play(made, counter, START, request(rid))):
+            play(made, counter, START, done(rid, send, i.Outcome.OK, closed=True))
+    (lease,) = made.leases.values()
+    assert lease.credits > 0
+    play(made, counter, START, i.Leaving())
+    assert level(made, counter, START) == pytest.approx(8.0 - 4)
+    # Nothing is left to be given back, also where it is told twice.
+    assert not [a for a in made.handle(START, i.Leaving()) if isinstance(a, i.Count)]
+    lease.owed = 2.0
+    play(made, counter, START, i.Leaving())
+    assert level(made, counter, START) == pytest.approx(8.0 - 6)
+
+
 @pytest.mark.parametrize("doors", [4, 64])
 def test_a_fleet_serves_what_is_inside_the_quotas(doors: int) -> None:
     played = Fleet(doors, workers=60, use=0.6).run(4.0)
