Tests: a file written anew is met by 200 calls, not by as many as the disk is slow

Ruled out: the store, whose totals were equal in the 121 names that the report shows as identical. Change: 200 calls at the most; what is asserted is as it was.

--- a/tests/tally/test_durable.py
+++ b/tests/tally/test_durable.py
@@ -149,9 +149,10 @@
             store.flush()
         before = store.size
         rewriting = asyncio.ensure_future(store.rewrite())
-        while not rewriting.done():
-            store.add(b"n%d" % rng.randrange(120), 1.0, 60.0, store.clock())
-            store.flush()
+        for _ in range(200):  # as many on a slow disk as on a quick one: each is a line of the file
+            if not rewriting.done():
+                store.add(b"n%d" % rng.randrange(120), 1.0, 60.0, store.clock())
+                store.flush()
             await asyncio.sleep(0)
         await rewriting
         store.add(b"last", 1.0, 60.0, store.clock())
