Hosting: what a door's own limits refused is told at its end without tenants too

Cause: the line of refusals came by way of each tenant's host; a door whose tenants were all gone ended without it. Change: the door tells it itself; one object is handed to tenants and to the listener, not chosen between two.

--- a/ivymux/hosting/door.py
+++ b/ivymux/hosting/door.py
@@ -51,11 +51,12 @@
         bounds = Bounds.of(limits.sockets, limits.memory_mb)
         answer = limits.answer_kb * 1024
         self.lookups = LookUps()
+        told = Told()  # refusals of all tenants
         self.terms = Terms(
             hosting.file.name, hosting.file.tally.doors, limits.body_kb * 1024, answer,
             max(answer, int(limits.memory_mb * MOST_ANSWERS * (1 << 20)) // 4),
             min(limits.tenant_upstream, bounds.upstream), tuple(hosting.file.trusted_proxies),
-            places=hosting.places, lookups=self.lookups, told=Told(),
+            places=hosting.places, lookups=self.lookups, told=told,
         )  # fmt: skip
         self.tally: TallyServer | None = None  # that runs here
         self.shares = Shares()
@@ -65,7 +66,7 @@
         unread = max(8, int(limits.memory_mb * HELD_PART * (1 << 20)) // answer)
         self.front = HostedFront(limits.body_kb * 1024, unread, lambda: not self.server.stopping)
         self.server = HostedServer(self.front, hosting.listen, bounds, self.shares, self.hosts)
-        self.server.told = self.terms.told or self.server.told
+        self.server.told = told
         self.revision = -1  # up to which the desired state is followed
         self.lineage = ""
         self.problems: dict[str, str] = {}  # by uid
@@ -269,6 +270,7 @@
     def answer_all(self) -> None:
         for resident in self.everyone:
             resident.answer_all()
+        self.server.told.tell()  # what its own limits refused, where no tenant is resident
 
     def close_parts(self) -> None:
         for resident in self.everyone:
