Module: what a store flows over by is added however few calls there are

Change: the correction is sent in any case; under a ceiling a name lacks no more than the ceiling leaves beside a full store and all that shares let in (store.loose). The simulated fleet keeps ceilings too; the benchmark fails if one is passed.

--- a/bench/fleet_size.py
+++ b/bench/fleet_size.py
@@ -77,6 +77,10 @@
             for name in sorted({name for row in rows for name in row})
         }
         ratios |= {f"{count} front doors: {name}": value for name, value in table[count].items()}
+        least = [played.ceiling for played in runs]
+        if min(least) < 0:
+            raise AssertionError(f"{count} front doors: a ceiling was passed")
+        figures[f"{count} front doors: least that a ceiling's store of 33 held"] = figure(least, "units")
         for part in (0.5, 0.99):
             waits = [1000 * quantile(played.waits, part) for played in runs]
             figures[f"{count} front doors: until the first attempt, p{round(100 * part)}"] = figure(
--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -339,7 +339,7 @@
         if call.gives:
             return self.give_back(lease, call.fix) if not store.stands(lease.plan, call.fix, before) else None
         if lease.wide:
-            if (over := store.over(lease.plan, before)) and self.may_call():
+            if over := store.over(lease.plan, before):  # however few calls there are: it holds the ceiling
                 self.count(lease, over, gives=True, fix=over)
             return
         # What is missing beyond leases that are out, and a burst, was put there in error: who did so died, or
--- a/orchidhill/store.py
+++ b/orchidhill/store.py
@@ -13,14 +13,23 @@
 
 from __future__ import annotations
 
+from orchidhill import apart
 from orchidhill.interface import Plan
 
 LOOSE = 0.5  # of a burst that a name may lack before it is added: each addition costs a call
 
 
+def loose(plan: Plan) -> float:
+    """Units that a name may lack; under a ceiling, what that leaves beside a full store and all unasked."""
+    most = LOOSE * plan.burst
+    if not plan.ceiling_rate:
+        return most
+    return max(0.0, min(most, plan.ceiling_burst - plan.burst - apart.store(plan)))
+
+
 def over(plan: Plan, level: float) -> float:
     """Units to be added to a name that says its store holds `level`; 0 where it is near enough."""
-    return level - plan.burst if level > plan.burst * (1 + LOOSE) else 0.0
+    return level - plan.burst if level > plan.burst + loose(plan) else 0.0
 
 
 def stands(plan: Plan, added: float, level: float) -> bool:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -66,6 +66,8 @@
     served: int = 0  # tries that found one in the true store, and were answered within the aim
     sent: int = 0
     beyond: int = 0  # of these
+    above: float = 0.0  # what its ceiling's store holds, where it has one
+    above_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -107,6 +109,7 @@
     connections: int = 0  # opened to workers
     open: int = 0  # at the end
     cancelled: int = 0  # attempts
+    ceiling: float = math.inf  # the least that any customer's ceiling store held
     waits: list[float] = field(default_factory=list)  # seconds from a try to its first attempt
     plans: dict[str, list[int]] = field(default_factory=dict)  # offered and served
 
@@ -292,6 +295,7 @@
                 made.customer.level -= 1
             else:
                 made.customer.beyond += 1
+            self.rise(made.customer)
         made.out += 1
         place = self.place[action.backend]
         links = self.idle[door].setdefault(place, [])
@@ -306,6 +310,14 @@
         self.out[number, attempt] = action.backend
         self.after(delay, lambda: self.work(door, place, number, attempt, began))
 
+    def rise(self, customer: Customer) -> None:
+        """Every try that is sent on takes a unit of its ceiling's store, which may not go below nothing."""
+        plan = PLANS[customer.plan]
+        if plan.ceiling_rate:
+            filled = customer.above + (self.now - customer.above_at) * plan.ceiling_rate
+            customer.above, customer.above_at = min(plan.ceiling_burst, filled) - 1, self.now
+            self.played.ceiling = min(self.played.ceiling, customer.above)
+
     def cancel(self, door: int, action: i.Cancel) -> None:
         """The attempt is given up; the worker does not stop, and its connection is lost."""
         key = action.request, action.attempt
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -8,6 +8,7 @@
 import pytest
 
 from orchidhill import interface as i
+from orchidhill import store
 from orchidhill.gateway import NEAR, Gateway
 from standins.fleet import Fleet
 from tests.helpers import START, Counter, done, entry, gateway, play, request, sends
@@ -156,3 +157,26 @@
     assert played.refused["killed"] > 20  # whose clients asked again
     assert played.served >= 0.97 * played.offered
     assert played.beyond <= 0.08 * played.all_sent
+    assert played.ceiling >= 10.0
+
+
+def test_what_flowed_over_is_added_however_few_calls_a_gateway_has() -> None:
+    """Left out for want of a call, a name said for a whole window that its store held ten bursts."""
+    made, counter = gateway(peers_total="200", extra__counter_timeout_s="0.08"), Counter()
+    made.pace.left, made.pace.at = 1.5, START
+    found = play(made, counter, START, replace(request(1, plan=1), width=100))
+    assert len(sends(found)) == 1 and not made.may_call()
+    assert level(made, counter, START) == pytest.approx(8.0 - 1, abs=0.1)
+
+
+def test_under_a_ceiling_a_name_lacks_no_more_than_that_leaves() -> None:
+    made = gateway()
+    free, under = made.settings.plans[:2]
+    assert store.over(free, free.burst * 1.4) == 0 and store.over(free, free.burst * 1.6) > 0
+    # A ceiling of two bursts: a full store and as much again let in unasked leave nothing.
+    assert under.ceiling_burst == 2 * under.burst and store.over(under, under.burst + 0.1) > 0
+
+
+def test_ceilings_hold_where_calls_are_few_and_customers_ask_far_more_than_their_quota() -> None:
+    played = Fleet(100, seed=3, pace=100.0).run(5.0)
+    assert played.ceiling >= 10.0  # of 33 units; none is allowed to get to -3
