Module: a cold backend is sent its little by all gateways, not by those that it is near to

Each gateway may send a cold backend its part of what all may; with near sets one in six did (choose looked at the others only where no near one would do). Ruled out: cold workers being slow, as their median was 0.27 to 0.42 s. Change: cold backends outside the near set are looked at beside it, a dozen at random, each within the same budget.

--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -78,6 +78,7 @@
         self.scan_at, self.probe_at = 0.0, 0.0
         self.live: list[Backend] = []  # listed ready
         self.near: list[Backend] = []  # of a large fleet, those to go to
+        self.cold: list[Backend] = []  # and all others that were cold when the list last changed
         # Mean of what backends report to hold; latencies and the loads that they met, fading sums.
         self.load, self.took, self.met = 0.0, FIRST_LATENCY, 1.0
         self.aim = min((c.aim for c in settings.classes), default=1.0)
@@ -617,6 +618,8 @@
             self.out = sum(len(b.out) for b in self.live)
             large = len(self.live) > NEAR
             self.near = sorted(self.live, key=lambda b: b.rank)[:NEAR] if large else []
+        if self.near:
+            self.cold = [b for b in self.live if b.rank > self.near[-1].rank and self.warmth(b) < 1]
         self.pump()
 
     def allowed(self, job: Job) -> list[Backend]:
@@ -710,6 +713,10 @@
             # A connection costs time and work at both ends; over 100 backends few requests find an open one.
             last = self.near[-1].rank
             near = self.near if fits is self.live else [b for b in fits if b.rank <= last]
+            if self.cold and fits is self.live:
+                # Each gateway may send a cold one so little that it takes all of them to warm it.
+                some = self.random.sample(self.cold, min(CANDIDATES, len(self.cold)))
+                near = near + [b for b in some if self.warmth(b) < 1 and b.state is State.READY]
             if (found := self.best(job, near)) or len(near) == len(fits):
                 return found
         return self.best(job, self.random.sample(fits, CANDIDATES) if len(fits) > CANDIDATES else fits)
