Discovery: an agent that was asked while discovery was down is asked anew after a second

A probe wrote each opening and end of a watch: 0.429 open | 0.453 list FULL 144 entries | 9.462 end heard=7.001 | 9.563 open | 16.564 end watching=False heard=7.000 The watch opened anew at 9.56 s, while discovery was down, got no answer; the agent never answers that call, though it has the list from 10.79 s on. Line at fault: discovery.py, Source.watch, SILENT_AFTER for both calls. Ruled out: the module, as it was not told; restarted front doors, which had the list 2 ms after they opened. Change: the whole list is waited for 1 s, as the agent answers at once; attempts 0.5 s apart at the most (1.0). The new test takes 7 s without the change and fails.

--- a/ivymux/platform/discovery.py
+++ b/ivymux/platform/discovery.py
@@ -19,7 +19,8 @@
 
 MOST_LINE = 4 << 20  # bytes of one line; a longer one ends the watch
 SILENT_AFTER = 7.0  # seconds: an empty line comes every 2 s while the agent is well
-RETRY_FIRST, RETRY_MOST = 0.1, 1.0  # seconds between attempts to watch
+ANSWER_AFTER = 1.0  # seconds: the whole list comes at once, or, asked for while discovery is down, never
+RETRY_FIRST, RETRY_MOST = 0.1, 0.5  # seconds between attempts to watch
 CONNECT_TIMEOUT = 1.0
 STATES = {"Ready": State.READY, "Terminating": State.DRAINING, "Gone": State.GONE}
 
@@ -103,6 +104,10 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop's are not its subclasses
         self.ask("/api/targets")
 
+    def patience(self) -> float:
+        """Seconds of silence after which it is broken."""
+        return SILENT_AFTER if self.watching else ANSWER_AFTER
+
     def ask(self, target: str) -> None:
         assert self.transport is not None
         self.transport.write(f"GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n".encode())
@@ -177,8 +182,9 @@
             )
         self.heard_at = time.monotonic()
         try:
-            # A vanished peer says nothing, not even that it is gone: silence ends the watch too.
-            while (left := self.heard_at + SILENT_AFTER - time.monotonic()) > 0:
+            # A vanished peer says nothing, not even that it is gone: silence ends the watch too.  What the
+            # agent has counts as told: asked while discovery was down it must be asked anew soon after.
+            while (left := self.heard_at + watch.patience() - time.monotonic()) > 0:
                 await asyncio.wait([watch.lost], timeout=left)
                 if watch.lost.done():
                     return
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -152,6 +152,27 @@
     run(test())
 
 
+def test_an_agent_that_was_asked_while_discovery_was_down_is_asked_anew_soon() -> None:
+    """It never answers that call, and what it has from then on counts as told: seven seconds are too long."""
+
+    async def test() -> None:
+        agent, calls = Agent(), 0
+
+        async def down_at_first(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal calls
+            calls += 1
+            await (reader.read() if calls == 1 else agent.handle(reader, writer))
+
+        async with listening(down_at_first) as dial:
+            began = asyncio.get_running_loop().time()
+            watch, heard = start(dial)
+            await until(lambda: bool(heard))
+            assert calls == 2 and asyncio.get_running_loop().time() - began < 2.0
+            watch.close()
+
+    run(test())
+
+
 def test_a_line_without_end_ends_the_watch(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery, "MOST_LINE", 1000)
 
