Counter: a connection that comes up as the wait for it ends is made anew

Lines at fault: counter.py, try_connect (the except branch), look (armed anew only behind the lines). Ruled out: a write after connection_lost, as that clears the transport.

--- a/ivymux/platform/counter.py
+++ b/ivymux/platform/counter.py
@@ -145,6 +145,12 @@
                 await self.owner.loop.create_connection(lambda: self, address.host, address.port)
         except (OSError, TimeoutError):
             self.connecting = False
+            if self.transport is not None:
+                # It came up in the very moment in which the wait ended: the loop has closed it and calls no
+                # `connection_lost`.  Kept, it would fail every call from then on.
+                self.transport.abort()
+                self.connection_lost(None)
+                return
             self.fail_held()
             self.owner.loop.call_later(self.wait, self.connect)
             self.wait = min(RETRY_MOST, 2 * self.wait)
@@ -339,10 +345,10 @@
         return time.monotonic() - call.began
 
     def look(self) -> None:
+        self.watch = self.loop.call_later(PING_AFTER / 2, self.look)
         now = time.monotonic()
         for line in self.lines:
             line.look(now)
-        self.watch = self.loop.call_later(PING_AFTER / 2, self.look)
 
     def close(self) -> None:
         self.closed = True
--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -8,7 +8,8 @@
 import pytest
 
 from ivymux.door.limits import parse_address
-from ivymux.platform.counter import DEAD_AFTER, LINES, MOST_PENDING, Counter
+from ivymux.platform import counter as counter_module
+from ivymux.platform.counter import DEAD_AFTER, LINES, MOST_PENDING, Counter, Line
 from orchidhill.interface import Count, Counted, Late, Outcome
 
 from .sockets import Tally, listening, run, until
@@ -240,6 +241,35 @@
     run(test())
 
 
+def test_a_connection_that_comes_up_as_the_wait_for_it_ends_is_made_anew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """uvloop closes it and tells nobody: the line kept it, and failed each call for the rest of its days."""
+    monkeypatch.setattr(counter_module, "CONNECT_TIMEOUT", 0.2)
+    made, stalls = Line.connection_made, [LINES]
+
+    def stalled(line: Line, transport: asyncio.BaseTransport) -> None:
+        made(line, transport)
+        if stalls[0]:
+            stalls[0] -= 1
+            time.sleep(0.25)  # the loop has no turn until the wait is over
+
+    monkeypatch.setattr(Line, "connection_made", stalled)
+
+    async def test() -> None:
+        tally = Tally()
+        async with listening(tally.handle) as dial:
+            counter, heard = start(dial, timeout=5.0)
+            await until(lambda: not stalls[0] and all(line.transport is not None for line in counter.lines))
+            for name in range(LINES):
+                counter.add(Count(name, 1.0, 4.0))
+            await until(lambda: len(heard) == LINES)
+            assert [told.outcome for told in heard] == [Outcome.OK] * LINES
+            counter.close()
+
+    run(test())
+
+
 def test_an_idle_connection_is_kept_by_a_ping() -> None:
     async def test() -> None:
         tally = Tally()
