--- a/orchidhill/gateway.py
+++ b/orchidhill/gateway.py
@@ -180,8 +180,6 @@
             elif lease.waiting or self.may_call():
                 lease.waiters.append(job)
                 self.ask(lease)
-            elif self.unasked(lease, units):
-                self.admit_alone(lease, job, units)
             elif lease.waiters or self.worth_waiting(lease, job):
                 self.wanting.append(lease) if not lease.waiters else None
                 lease.waiters.append(job)
@@ -494,11 +492,6 @@
         lacks = not lease.met and self.tally.unsettled(self.now)
         return lacks or (self.pace.many and not self.spare() and self.fits(lease, units))
 
-    def unasked(self, lease: Lease, units: float) -> bool:
-        """Whether not to wait for a call: the few there are go to those that can't be let in without one."""
-        free = lease.wide and not lease.plan.ceiling_rate and not lease.waiters
-        return free and self.fits(lease, units)
-
     def worth_waiting(self, lease: Lease, job: Job) -> bool:
         """Whether a call may be made for it soon, by a counter that answers: a gateway of many has few calls
         a second, and they are asked for unevenly.  A client's repeat where nothing is known of the customer
@@ -507,13 +500,11 @@
         again = job.req.is_retry and lease.wide and not lease.met
         if again or self.tally.seen is not apart.Seen.WELL or not self.pace.rate:
             return False
-        ahead = [w for w in self.wanting if w.plan.ceiling_rate or not lease.plan.ceiling_rate]
-        wait = (len(ahead) + 1 - self.pace.budget(self.now)) / self.pace.rate
+        wait = (len(self.wanting) + 1 - self.pace.budget(self.now)) / self.pace.rate
         return wait < min(CALL_WAIT * job.cls.aim, job.end - self.now - 4 * TICK)
 
     def call_waiting(self) -> None:
-        """Calls for those that wait for one, the longest first, but under a ceiling before others."""
-        self.wanting = deque(sorted(self.wanting, key=lambda lease: not lease.plan.ceiling_rate))
+        """Calls for those that wait for one, the longest first."""
         for _ in range(len(self.wanting)):
             if not self.may_call() and self.tally.seen is apart.Seen.WELL:
                 break
