--- a/tests/hosting/test_door.py
+++ b/tests/hosting/test_door.py
@@ -298,9 +298,9 @@
             text = request("GET /read/7", b"", a.key, Host=a.host)
             dripped = 0
 
-            async def drip(rounds: int) -> None:
+            async def drip() -> None:
                 nonlocal dripped
-                for _ in range(rounds):
+                while not answered:
                     with contextlib.suppress(OSError, RuntimeError):
                         reader, writer = await asyncio.open_connection("127.0.0.1", place.door.port)
                         for at in range(len(text) - 10):
@@ -312,12 +312,14 @@
                                 break
                         writer.close()
 
-            dripping = [asyncio.ensure_future(drip(3)) for _ in range(3 * room)]
+            answered = False
+            got: list[int] = []
+            dripping = [asyncio.ensure_future(drip()) for _ in range(3 * room)]
             await until(lambda: len(place.door.server.clients) >= room)
-            got = []
-            while dripped < 1000 and not all(task.done() for task in dripping):
+            while dripped < 1000 or len(got) < 10:  # as many of both, however slow the machine is
                 got.append((await place.ask(b)).status)
-            assert set(got) == {200} and len(got) > 5
+            answered = True
+            assert set(got) == {200}
             await asyncio.gather(*dripping)
             assert a.worker.fleet.seen.total() == 0
             shares = [r.share for r in place.door.residents.values()]
