Module: a constant and its comment on one line

Need: the formatter had broken the line of BACK over three, as its comment was too long. Change: a shorter comment; no decision changes. Measured: tests of the fleet and of the project pass.

--- a/orchidhill/apart.py
+++ b/orchidhill/apart.py
@@ -17,9 +17,7 @@
 DEAR = 2.0  # an `over_cost` from which on the shares add up for a plan without a ceiling too
 SETTLE = 2.0  # seconds after a replacement in which the others bring back what they had added
 SMOOTH = 0.1  # weight of the newest call
-BACK = (
-    0.3  # and of one that is answered by a tally not taken for well: of many doors each makes a few a second
-)
+BACK = 0.3  # and of one that is answered while the tally is not taken for well: few calls have to tell
 LATE = 2.0  # seconds for which a late answer tells that the tally is slow, not away
 
 
