Tests: two more searches for a key's secret take all of it

A key's secret is base64url and may hold `_` itself; rpartition("_")[2] then looks for what follows the last one, at worst a single character, which is always found. Ruled out: a secret in the store, as its 43 characters were not there. Change: both cut the secret out by the form that the program itself uses. No other rpartition("_") or rsplit("_") stands in tests or sources (grep).

--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -16,6 +16,7 @@
 from ivymux.admin.rules import ApiError, Pace, expected
 from ivymux.inventory.model import Inventory, Worker
 from ivymux.inventory.sheet import write_sheet
+from ivymux.tenants.secret import FORM
 from tests.admin.calling import Caller, serving
 from tests.hosting.doors import hosting
 from tests.routes.describing import described, operation
@@ -148,7 +149,7 @@
             texts = [(await olga.call("GET", f"{T}{p}")).text for p in ("", "/keys", "/audit", "/history")]
             for text in texts:
                 assert key not in text and "salt" not in text and "hash" not in text
-            assert key.rpartition("_")[2].encode() not in kept
+            assert (secret := FORM.fullmatch(key.encode())) and secret[3] not in kept  # it may hold a `_`
             assert (await olga.change("DELETE", f"{path}/{number}")).status_code == 204
             assert (await olga.call("GET", f"{path}/{number}")).status_code == 404
 
--- a/tests/desired/test_etcd_store.py
+++ b/tests/desired/test_etcd_store.py
@@ -23,7 +23,7 @@
     StoreFull,
 )
 from ivymux.tenants.model import digest, texts
-from ivymux.tenants.secret import ADMIN, make
+from ivymux.tenants.secret import ADMIN, FORM, make
 from standins.etcd import Server, serving
 from tests.desired import promises
 from tests.desired.etcds import access, begin, stored
@@ -335,4 +335,5 @@
         values = [v.value or b"" for vs in server.etcd.versions.values() for v in vs]
         opened = [zlib.decompress(v) if v[:1] == b"\x78" else v for v in values]
         for key in (shown, admin_key):
-            assert not [v for v in opened if key.rpartition("_")[2].encode() in v]
+            assert (secret := FORM.fullmatch(key.encode()))  # it may hold a `_` itself
+            assert not [v for v in opened if secret[3] in v]
