Tenants: a room of less than a billionth of a request is no room

Change: less than LEAST_ROOM is shared as 0; the drawn case is an example of the test. Measured: the example fails without the change.

--- a/ivymux/tenants/shares.py
+++ b/ivymux/tenants/shares.py
@@ -22,6 +22,7 @@
 BLEND = 0.2  # how fast the measured cost follows
 LEAST_PART = 0.25  # of the capacity that stays for requests, however many are refused
 LEAST = 2.0  # requests in each span that a tenant may always have
+LEAST_ROOM = 1e-9  # requests; less is no room: near a float's least, shares of it are no longer exact
 NEVER = math.inf
 
 
@@ -176,6 +177,8 @@
     left = sorted(wants, key=lambda w: w[2] / w[1])
     weights = sum(w for _, w, _ in left)
     given = {}
+    if room < LEAST_ROOM:
+        room = 0.0
     for key, weight, wanted in left:  # the most modest first: what it leaves is everybody's
         part = room * weight / weights if weights > 0 else 0.0
         given[key] = min(wanted, part)
--- a/tests/tenants/test_shares.py
+++ b/tests/tenants/test_shares.py
@@ -5,7 +5,7 @@
 import math
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from ivymux.tenants.shares import CAPACITY, LEAST, SPAN, Share, Shares, TenantLimits, max_min
@@ -14,6 +14,7 @@
 
 
 @given(WANTS, st.floats(0, 1e4))
+@example([(17.0, 1.0), (0.01171875, 1.0)], 2.2250738585e-313)  # below it a float has no relative precision
 def test_max_min_wastes_nothing_and_nobody_gains_by_asking_for_more(
     wants: list[tuple[float, float]], room: float
 ) -> None:
