Tests: a connection made anew is looked for once no attempt to connect is left

Cause: connections that were closed unseen stand as connected until their own wait ends, so the test could go on with one of them (tests/test_counter.py). Ruled out: the counter itself, which makes it anew at the next look. Change: it waits until no task of connecting is left. What is asserted is as it was.

--- a/tests/test_counter.py
+++ b/tests/test_counter.py
@@ -260,7 +260,15 @@
         tally = Tally()
         async with listening(tally.handle) as dial:
             counter, heard = start(dial, timeout=5.0)
-            await until(lambda: not stalls[0] and all(line.transport is not None for line in counter.lines))
+            # Not before each attempt to connect has ended: the last that were closed unseen still stand as
+            # connected until their own waits are told to end.
+            await until(
+                lambda: (
+                    not stalls[0]
+                    and not counter.tasks
+                    and all(line.transport is not None for line in counter.lines)
+                )
+            )
             for name in range(LINES):
                 counter.add(Count(name, 1.0, 4.0))
             await until(lambda: len(heard) == LINES)
