Module: GALE's leases in a file of their own, for the system's doors too

Ruled out: a copy of the leases for the system; one more flag in gateway.py. Change: orchidhill/admission.py holds the quota step (leases, windows, sizing, give-backs), gateway.py the choice of a server; the events Plans and Doors and a `service` of entries and requests for the system.

--- a/orchidhill/interface.py
+++ b/orchidhill/interface.py
@@ -165,6 +165,7 @@
     kind: int
     cell: int
     weight: float
+    service: int = 0  # requests go to backends of their own service only
 
 
 @dataclass(slots=True)
@@ -188,6 +189,9 @@
     first: int
     is_retry: bool
     is_write: bool
+    service: int = 0
+    most: int = 0  # backends that it may be sent to; 0: what the limits say
+    home: int = 0  # the backend that its conversation goes to; 0: none
 
 
 @dataclass(slots=True)
@@ -236,6 +240,20 @@
     classes: tuple[RequestClass, ...]
 
 
+@dataclass(slots=True)
+class Plans:
+    """The plans from now on, never fewer.  Open requests keep the plan that they came with."""
+
+    plans: tuple[Plan, ...]
+
+
+@dataclass(slots=True)
+class Doors:
+    """How many gateways there are, this one among them."""
+
+    count: int
+
+
 @dataclass(slots=True)
 class PeerSays:
     source: int
@@ -270,7 +288,7 @@
 
 
 News = Members | UnderWay | Finished | Probed | PeerSays | Counted | Late
-Event = News | Request | Left | Fired | Classes | Leaving
+Event = News | Request | Left | Fired | Classes | Plans | Doors | Leaving
 
 
 @dataclass(slots=True)
@@ -346,12 +364,23 @@
     """Add to a named count; a new name is forgotten ``expires`` seconds after its first call.
 
     ``call`` names the call where it may be made again: a counter that tells ``born`` adds it once.  0: never.
+    ``drained`` is the total at which the name's store would hold nothing now, ``since`` the seconds since the
+    name's window began: a counter that may have lost the name goes by them.  A counter that keeps stores
+    itself goes by ``floor``, the total below which this one would have flowed over, ``seed``, what it lacked
+    when its window began as far as its caller knows, and ``known``, the last total that was told, by the
+    incarnation ``knew``.
     """
 
     name: int
     amount: float
     expires: float
     call: int = 0
+    drained: float = 0.0
+    since: float = 0.0
+    floor: float = 0.0
+    seed: float = 0.0
+    known: float = 0.0
+    knew: int = 0
 
 
 Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Log | Watch | Pull | Count
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -14,7 +14,7 @@
 from ivymux.door.server import IDLE_TIMEOUT, MOST_HEAD, MOST_PIPELINED
 from ivymux.platform.front import MOST_BODY
 from orchidhill import interface as i
-from orchidhill.gateway import WINDOW, mix
+from orchidhill.admission import WINDOW, mix
 from orchidhill.interface import Outcome
 
 from .sockets import (
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -14,7 +14,8 @@
 from hypothesis import strategies as st
 
 from orchidhill import interface as i
-from orchidhill.gateway import FORGET, TICK, Gateway, mix
+from orchidhill.admission import FORGET, TICK, mix
+from orchidhill.gateway import Gateway
 from orchidhill.state import FIRST_LATENCY, Lease
 
 from .helpers import START, Counter, done, entry, gateway, play, request, sends
