Door: the shared data plane serves the system's protocol too

Need: a third Front uses the same server, upstream and host; answers name the request they belong to, a door listens before it reads, an action may be claimed before it goes. Ruled out: a copy of the data plane for the system. Change: Style.echo, not_run, framed, sound and told; Server.open and leaving; Call.to (what goes to one backend) and Call.claim; a backend's Keep-Alive is heeded where answers are named; the module is imported where it is used.

--- a/bench/common.py
+++ b/bench/common.py
@@ -108,10 +108,10 @@
         self.times: list[float] = []
         self.wrong = self.refused = 0
 
-    async def run(self, port: int, connections: int) -> None:
+    async def run(self, port: int, connections: int, host: str = "127.0.0.1") -> None:
         loop = asyncio.get_running_loop()
         made = [
-            await loop.create_connection(lambda n=n: Loader(self, n * 7), "127.0.0.1", port)  # type: ignore[misc]
+            await loop.create_connection(lambda n=n: Loader(self, n * 7), host, port)  # type: ignore[misc]
             for n in range(connections)
         ]
         await asyncio.gather(*(loader.done for _, loader in made))
--- a/bench/parts.py
+++ b/bench/parts.py
@@ -1,6 +1,6 @@
-"""Processes that a benchmark needs beside itself: `python -m bench.parts worker|floor|echo|tally [ADDRESS]`,
-which print their port and run until their standard input ends; `flood PORT REQUEST CONNECTIONS PAUSE`, which
-asks for half a minute at most.
+"""Processes that a benchmark needs beside itself: `python -m bench.parts worker|sealed|floor|echo|tally
+[ADDRESS]`, which print their port and run until their standard input ends; `flood PORT REQUEST CONNECTIONS
+PAUSE`, which asks for half a minute at most.
 """
 
 from __future__ import annotations
@@ -35,6 +35,18 @@
         self.transport.write(HEAD + ANSWER)
 
 
+class Sealed(Quick):
+    """The same as the system's users have it: it names the request in its answer and seals it."""
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"try-id":
+            self.named = value
+
+    def on_message_complete(self) -> None:
+        head = HEAD.replace(b"\r\n\r\n", b"\r\nServer-Seal: s\r\nTry-Id: %s\r\n\r\n" % self.named)
+        self.transport.write(head + ANSWER)
+
+
 class Back(asyncio.Protocol):
     """The floor's connection to the worker."""
 
@@ -133,7 +145,7 @@
         idle: deque[Back] = deque()
         host, _, number = address.rpartition(":")
         target = (host, int(number or 0))
-        kinds = {"worker": Quick, "echo": Echo}
+        kinds = {"worker": Quick, "echo": Echo, "sealed": Sealed}
         made = kinds.get(kind, lambda: Floor(target, idle))
         server = await loop.create_server(made, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
--- a/ivymux/door/front.py
+++ b/ivymux/door/front.py
@@ -34,6 +34,16 @@
     extra: Headers | None = None
 
 
+class Claim(Protocol):
+    """An action that is claimed before it goes to a backend, so that it goes there once."""
+
+    def ask(self, go: Callable[[Answer | None], None]) -> None:
+        """`go` hears None where the action may be sent, else its answer."""
+
+    def end(self, answer: Answer | None, ran: bool) -> None:
+        """It is over: with a backend's answer, without one, or (not `ran`) without having run."""
+
+
 @dataclass(slots=True)
 class Call:
     """A request that a front has taken."""
@@ -45,6 +55,8 @@
     head: bool = False  # whether answers to it have no body
     name: bytes = b""  # the request's id, as its answers tell it
     over: Callable[[], None] | None = None  # hears when it is answered and none of its attempts is out
+    to: Callable[[float, int], bytes] | None = None  # in place of `payload`: what goes to one backend
+    claim: Claim | None = None
 
 
 class Front(Protocol):
@@ -53,6 +65,7 @@
     most_body: int  # bytes of a request's body
     half_close: bool  # whether a client that has ended its sending is still answered
     close_refused: bool  # whether a refusal's connection is closed: its descriptor may be of use to others
+    head_status: int = 400  # of the answer to a header that is too large
     most_unread: int  # clients that may leave answers unread; more of them make the first give way
 
     def local(self, target: bytes) -> Answer | None:
--- a/ivymux/door/host.py
+++ b/ivymux/door/host.py
@@ -9,7 +9,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ivymux.door.front import Answer, Call
 from ivymux.door.limits import Address
@@ -17,9 +17,11 @@
 from ivymux.door.told import Told
 from ivymux.door.upstream import Attempt, Result, Upstream
 from orchidhill import interface as i
-from orchidhill.gateway import Gateway
 from orchidhill.interface import Outcome, State
 
+if TYPE_CHECKING:  # a core machine has no module, and starts faster without
+    from orchidhill.gateway import Gateway
+
 ATTEMPT_MARGIN = 0.030  # seconds before the client's deadline at which an attempt is given up
 GUARD_MARGIN = 0.015  # and at which the request is answered whatever the module does
 
@@ -41,6 +43,8 @@
     may_have_run: bool = False
     last: Result | None = None  # of the attempt that ended last
     settled: bool = False  # answered, or nobody waits any more
+    claiming: bool = False  # nothing is sent before its claim is heard of
+    answer: Answer | None = None
 
 
 class Counter(Protocol):
@@ -137,7 +141,7 @@
             attempt.give_up(Outcome.TIMEOUT)
         if not request.settled:  # what never ran may have been answered just now
             self.told.refused(FAILED)
-            self.settle(request, Answer(504))
+            self.settle(request, Answer(503 if request.claiming else 504))
             self.post(i.Left(request.number))
             self.drop(request)
 
@@ -212,14 +216,35 @@
                 i.Finished(action.request, number, action.backend, Outcome.MOOT, closed, 0.0, 0, 0, ())
             )
             return
+        claim = request.call.claim
+        if claim is not None and number == 0:
+            request.claiming = True
+            claim.ask(lambda said: self.claimed(request, action, said))
+            return
+        self.start(request, number, action, left)
+
+    def claimed(self, request: Open, action: i.Send, said: Answer | None) -> None:
+        """A claim has been heard of: its action goes to a backend, or is answered without."""
+        request.claiming = False
+        left = request.call.end - ATTEMPT_MARGIN - time.monotonic()
+        if said is None and not request.settled and left > 0:
+            self.start(request, 0, action, left)
+            return
+        if said is not None and not request.settled:
+            self.settle(request, said)
+        closed = request.settled
+        self.post(i.Finished(request.number, 0, action.backend, Outcome.MOOT, closed, 0.0, 0, 0, ()))
+        self.drop(request)
+
+    def start(self, request: Open, number: int, action: i.Send, left: float) -> None:
         timeout = min(left, action.timeout) if action.timeout > 0 else left
 
         def done(result: Result) -> None:
             self.finished(request, number, action.backend, result)
 
-        attempt = self.upstream.start(
-            action.backend, request.call.payload(timeout), timeout, done, request.call.head
-        )
+        call = request.call
+        payload = call.to(timeout, action.backend) if call.to is not None else call.payload(timeout)
+        attempt = self.upstream.start(action.backend, payload, timeout, done, call.head, call.name)
         if not attempt.over:
             request.out[number] = attempt
 
@@ -257,7 +282,7 @@
             self.drop(request)
 
     def settle(self, request: Open, answer: Answer | None) -> None:
-        request.settled = True
+        request.settled, request.answer = True, answer
         self.waiting -= 1
         if request.guard is not None:
             request.guard.cancel()
@@ -265,8 +290,21 @@
             request.reply(answer)
 
     def drop(self, request: Open) -> None:
-        if request.settled and not request.out and self.table.pop(request.number, None) is not None:
+        if not request.settled or request.out or request.claiming:
+            return
+        if self.table.pop(request.number, None) is not None:
             request.over()
+            if (claim := request.call.claim) is not None:
+                claim.end(self.ended_with(request), request.may_have_run)
+
+    def ended_with(self, request: Open) -> Answer | None:
+        """The whole answer of a backend that a request ended with, told to its client or not."""
+        answer, last = request.answer, request.last
+        if answer is not None:
+            return answer if answer.headers is not None and request.may_have_run else None
+        if last is None or last.outcome not in (Outcome.OK, Outcome.ERROR) or not last.status:
+            return None
+        return Answer(last.status, last.body, last.content_type, headers=last.headers)
 
     def set_timer(self, at: float, token: int) -> None:
         # The loop counts whole milliseconds from a cached clock and may fire early by some: look again.
--- a/ivymux/door/limits.py
+++ b/ivymux/door/limits.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+BACKLOG = 1024  # connections that wait to be taken
 OTHER_SOCKETS = 28  # descriptors kept for discovery, the counter (both may be moving), the loop and the log
 HELD_PART = 1 / 8  # of the memory, for the bodies of requests
 
--- a/ivymux/door/server.py
+++ b/ivymux/door/server.py
@@ -4,19 +4,22 @@
 
 import asyncio
 import logging
+import socket
 import time
 from collections import OrderedDict, deque
 from collections.abc import Iterator
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 import httptools
 
 from ivymux.door.front import Answer, BadRequest, Call, Front
-from ivymux.door.host import Host, Open
-from ivymux.door.limits import Address, Bounds
+from ivymux.door.limits import BACKLOG, Address, Bounds
 from ivymux.door.refusals import DOOR
 from ivymux.door.told import Told
 
+if TYPE_CHECKING:
+    from ivymux.door.host import Host, Open
+
 MOST_HEAD = 16 * 1024
 MOST_STRAY = 1024  # bytes, such as empty lines, that belong to no request
 MOST_PIPELINED = 4  # requests on one connection that wait for their answers
@@ -164,8 +167,8 @@
 
     def count(self, size: int) -> None:
         self.head += size
-        if self.head > MOST_HEAD:
-            raise BadRequest("header too large")
+        if self.head > self.server.most_head:
+            raise BadRequest("header too large", self.server.front.head_status)
 
     def on_url(self, url: bytes) -> None:
         self.url += url
@@ -248,7 +251,8 @@
             exchange = self.pending.popleft()
             if self.transport is None or self.transport.is_closing():
                 continue
-            close = not exchange.keep_alive or (self.server.stopping and not self.pending)
+            ends = self.server.stopping or self.server.leaving
+            close = not exchange.keep_alive or (ends and not self.pending)
             self.transport.write(self.server.front.encode(answer, close, exchange.call))
             if close:
                 self.end()
@@ -321,7 +325,10 @@
         self.ids: set[bytes] = set()  # of requests that are open
         self.held = 0
         self.stopping = False
+        self.leaving = False  # no connection is kept behind its answer, though new ones are taken
+        self.most_head, self.read_time, self.idle_time = MOST_HEAD, READ_TIMEOUT, IDLE_TIMEOUT
         self.server: asyncio.Server | None = None
+        self.waiting: socket.socket | None = None  # listens, and nobody reads there yet
         self.timer = self.loop.call_later(SWEEP, self.sweep)
         self.told = host.told if host is not None else Told()
 
@@ -331,10 +338,21 @@
             self.told.refused(DOOR)
         return self.front.refusal(error)
 
+    def open(self) -> None:
+        """Listen without reading: connections wait, whole, in the system's queue.  Raises OSError."""
+        if self.waiting is None:
+            self.waiting = socket.create_server((self.listen.host, self.listen.port), backlog=BACKLOG)
+
     async def start(self) -> None:
-        self.server = await self.loop.create_server(
-            lambda: self.client(self), self.listen.host, self.listen.port, backlog=1024
-        )
+        """Take connections, those first that have waited since `open`.  Raises OSError."""
+        waiting, self.waiting = self.waiting, None
+        if waiting is not None:
+            made = self.loop.create_server(lambda: self.client(self), sock=waiting, backlog=BACKLOG)
+        else:
+            made = self.loop.create_server(
+                lambda: self.client(self), self.listen.host, self.listen.port, backlog=BACKLOG
+            )
+        self.server = await made
 
     def add(self, client: Client) -> None:
         self.clients.add(client)
@@ -365,12 +383,12 @@
     def sweep(self) -> None:
         """End who has waited too long: says nothing, drips, stands idle or does not read."""
         late = BadRequest("the request did not come whole", 408)
-        for line, most in ((self.fresh, READ_TIMEOUT), (self.coming, READ_TIMEOUT)):
+        for line, most in ((self.fresh, self.read_time), (self.coming, self.read_time)):
             for client in self.overdue(line, most):
                 # Bytes that came without a request, such as empty lines, are owed an answer too.
                 client.reject(late) if client.arriving or client.stray else client.abort()
         # Room is made before it is needed: a burst of new ones must not end those that are about to ask.
-        idle_most = IDLE_TIMEOUT if len(self.clients) < self.most_clients / 2 else SETTLED_AFTER
+        idle_most = self.idle_time if len(self.clients) < self.most_clients / 2 else SETTLED_AFTER
         for line, most in ((self.idle, idle_most), (self.ended, LINGER)):
             for client in self.overdue(line, most):
                 client.abort()  # a close would wait for a client that never reads its last answer
@@ -389,6 +407,8 @@
     def stop_listening(self) -> None:
         """No new connections; those that stand idle are closed, the others after their answers."""
         self.stopping = True
+        if self.waiting is not None:
+            self.waiting.close()
         if self.server is not None:
             self.server.close()
         for client in [*self.idle, *(c for c in self.fresh if not c.arriving)]:
--- a/ivymux/door/style.py
+++ b/ivymux/door/style.py
@@ -18,6 +18,9 @@
     whole: bool
     most_body: int
     held: int
+    not_run: bytes = b"not-started"  # the header by which a worker says that it did not run a request
+    echo: bytes = b""  # the header, if any, in which an answer names the request that it belongs to
+    framed: bool = False  # whether an answer without a length, ended by its connection's end, is broken off
 
     def outcome(self, status: int, not_started: bool) -> Outcome:
         """The outcome of an attempt that was answered whole.
@@ -30,6 +33,14 @@
         served = status not in (500, 502, 503, 504) if self.whole else status == 200
         return Outcome.OK if served else Outcome.ERROR
 
+    def sound(self, status: int, headers: list[tuple[bytes, bytes]]) -> bool:
+        """Whether an answer may be passed on as what it says it is."""
+        return True
+
+    def told(self, status: int) -> int:
+        """The status under which a worker's answer reaches the client."""
+        return status
+
     def refused(self, beyond: bool, last: Outcome | None) -> int:
         """The status of a refusal; `beyond`: for the customer's quota (RFC 6585, 4).
 
--- a/ivymux/door/upstream.py
+++ b/ivymux/door/upstream.py
@@ -23,6 +23,7 @@
 BACKEND_PART = 0.5  # of all connections, that one backend may have
 IDLE_PART = 0.5  # of the backend's idle time, after which an idle connection is retired here
 SWEEP = 1.0  # seconds between looks for such connections
+KEEP = re.compile(rb"timeout\s*=\s*(\d{1,6})", re.ASCII | re.IGNORECASE)
 NUMBER = re.compile(r"\d{1,15}(\.\d{1,15})?", re.ASCII)
 
 log = logging.getLogger(__name__)
@@ -44,10 +45,13 @@
 class Attempt:
     """One request on its way to one backend; `done` hears of its end exactly once."""
 
-    __slots__ = ("began", "done", "head", "link", "over", "payload", "timer", "verdict")
+    __slots__ = ("began", "done", "head", "link", "name", "over", "payload", "timer", "verdict")
 
-    def __init__(self, payload: bytes, done: Callable[[Result], None], head: bool = False) -> None:
+    def __init__(
+        self, payload: bytes, done: Callable[[Result], None], head: bool = False, name: bytes = b""
+    ) -> None:
         self.payload, self.done, self.head = payload, done, head
+        self.name = name  # of the request, as its answer has to name it
         self.began = time.perf_counter()
         self.link: Link | None = None  # once its first byte may have been written
         self.timer: asyncio.TimerHandle | None = None
@@ -95,6 +99,8 @@
         self.parser = httptools.HttpResponseParser(self)
         self.readable = select.poll()
         self.size = 0  # bytes of the body that is coming
+        self.foreign = False  # whether an answer to an earlier request came where another was due
+        self.idle_most = 0.0  # seconds that the backend said it keeps an idle connection; 0: it did not
         self.clear()
 
     def clear(self) -> None:
@@ -114,6 +120,7 @@
         self.not_started = False
         self.framed = False  # whether the answer's end can be told from its connection's end
         self.load = b""
+        self.named = b""
         self.content_type = b""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -169,7 +176,8 @@
 
     def eof_received(self) -> None:
         """The backend has ended its sending: so ends an answer that announced no length (RFC 9112, 6.3)."""
-        if self.style.whole and self.headed and not self.framed and self.attempt is not None:
+        ends = self.style.whole and not self.style.framed
+        if ends and self.headed and not self.framed and self.attempt is not None:
             self.answered(self.parser.get_status_code())
             if self.result is not None:
                 self.deliver(self.attempt, self.result, keep=False)
@@ -194,8 +202,13 @@
         name = name.lower()
         if name == b"server-load":
             self.load = value
-        elif name == b"not-started":
+        elif name == self.style.not_run:
             self.not_started = value == b"1"
+        elif name == self.style.echo:
+            self.named = value
+        elif name == b"keep-alive" and self.style.echo:
+            found = KEEP.search(value)
+            self.idle_most = float(found[1]) if found is not None else 0.0
         elif name == b"content-type":
             self.content_type = value
         elif name == b"content-length":
@@ -243,6 +256,15 @@
         """The answer is whole."""
         if self.transport is None or self.transport.is_closing() or self.attempt is None:
             return
+        if self.named and self.attempt.name and self.named != self.attempt.name:
+            # A second answer to an earlier request; the one that is waited for stands behind it.
+            if self.bodiless:
+                raise Spoilt("another request's answer")
+            self.foreign = True
+            self.pool.owner.foreign += 1
+            self.pool.owner.held -= self.size
+            self.new_answer()
+            return
         self.result = Result(
             self.style.outcome(status, self.not_started),
             time.perf_counter() - self.attempt.began,
@@ -251,8 +273,10 @@
             self.content_type,
         )
         if self.style.whole:
-            self.result.status, self.result.headers = status, self.headers
-        self.keep = self.parser.should_keep_alive() and self.framed
+            self.result.status, self.result.headers = self.style.told(status), self.headers
+        if self.result.outcome is Outcome.OK and not self.style.sound(status, self.headers):
+            self.result.outcome, self.result.status = Outcome.ERROR, 0
+        self.keep = self.parser.should_keep_alive() and self.framed and not self.foreign
 
     def abort(self) -> None:
         if self.transport is not None:
@@ -354,6 +378,7 @@
         style: Style = PLATFORM,
     ) -> None:
         self.style = style
+        self.foreign = 0  # answers that belonged to an earlier request
         self.held = 0  # bytes of answers that are coming in
         self.connect_timeout, self.columns, self.most_open = connect_timeout, columns, most_open
         self.keep_idle = IDLE_PART * conn_idle
@@ -387,10 +412,19 @@
             pool.close_idle()
 
     def start(
-        self, backend: int, payload: bytes, timeout: float, done: Callable[[Result], None], head: bool = False
+        self,
+        backend: int,
+        payload: bytes,
+        timeout: float,
+        done: Callable[[Result], None],
+        head: bool = False,
+        name: bytes = b"",
     ) -> Attempt:
-        """Begin an attempt; `timeout` in seconds, `head`: its answer has no body."""
-        attempt = Attempt(payload, done, head)
+        """Begin an attempt.
+
+        `timeout` in seconds, `head`: its answer has no body, `name`: the request's id.
+        """
+        attempt = Attempt(payload, done, head, name)
         pool = self.pools.get(backend)
         if pool is None:
             self.loop.call_soon(attempt.fail, Outcome.CONNECT_FAILED)
@@ -443,15 +477,21 @@
 
     def sweep(self) -> None:
         """Retire idle connections well before the backend does: a request that crosses its close is lost."""
-        before, left = time.monotonic() - self.keep_idle, False
+        now, left = time.monotonic(), False
         for pool in self.pools.values():
-            while pool.idle and pool.idle[0].idle_since < before:
+            while pool.idle and now - pool.idle[0].idle_since > self.idle_most(pool.idle[0]):
                 pool.idle.popleft().abort()
             left = left or bool(pool.idle)
         self.timer = None
         if left:
             self.watch_idle()
 
+    def idle_most(self, link: Link) -> float:
+        """Seconds that a connection may stand idle: by what its backend said, where it did."""
+        return (
+            max(IDLE_PART * link.idle_most, link.idle_most - 2 * SWEEP) if link.idle_most else self.keep_idle
+        )
+
     def close(self) -> None:
         self.closed = True
         if self.timer is not None:
--- a/ivymux/hosting/server.py
+++ b/ivymux/hosting/server.py
@@ -24,6 +24,7 @@
 class HostedFront:
     """What is told alike to the clients of all tenants; each tenant's own front takes its requests."""
 
+    head_status = 400
     half_close = True
     close_refused = False
 
--- a/ivymux/platform/front.py
+++ b/ivymux/platform/front.py
@@ -24,6 +24,7 @@
     """Requests and answers as the platform's protocol page has them."""
 
     most_body = MOST_BODY
+    head_status = 400
     half_close = False
     close_refused = True
     most_unread = 1 << 30  # answers are small by the protocol
--- a/ivymux/service/front.py
+++ b/ivymux/service/front.py
@@ -49,6 +49,7 @@
 class OrdinaryFront:
     """One standalone front door's requests and answers."""
 
+    head_status = 400
     half_close = True
     close_refused = False
 
