Exchange: the store of configuration, primary, backup and witnesses under epochs

Need: an acknowledged configuration is never gone, never old when read, never two of one number. Ruled out: a log replicated by a majority (house style); two machines without witnesses (a cut makes two primaries). Leases of 0.75 s on steady clocks; a vote for a lease waits for its epoch's record on disk; a wiped machine is a new one.

--- /dev/null
+++ b/tests/exchange/test_epochs.py
@@ -0,0 +1,271 @@
+"""Epochs and leases over losses, kills, wipes, cuts, slow disks: nothing acknowledged is gone or read old."""
+
+from __future__ import annotations
+
+import itertools
+import os
+
+import pytest
+from syrupy.assertion import SnapshotAssertion
+
+from ivymux.exchange.epochs import Member
+from ivymux.exchange.words import Keep, Kept, Record, Tell, passes
+from ivymux.testdesk.cores import Broken, Cores
+from ivymux.testdesk.schedules import Make, placed, play, two_changes
+
+SCHEDULES = int(os.environ.get("EPOCH_SCHEDULES", "400"))
+
+
+def started(seed: int, count: int = 3, make: Make = Member) -> Cores:
+    cores = Cores(seed, count, make)
+    for ip in cores.machines:
+        cores.start_at(cores.random.uniform(0, 0.3), ip)
+    cores.run(0.5)
+    cores.settle()
+    return cores
+
+
+def test_a_first_start_founds_once_in_any_order(snapshot: SnapshotAssertion) -> None:
+    for order in itertools.permutations(range(3)):
+        cores = Cores(7)
+        for place, number in enumerate(order):
+            cores.start_at(place * 1.7, f"m{number}")
+        cores.run(9.0)
+        assert len(cores.leaders()) == 1
+        founded = {line.split(" is in force")[0] for line in cores.log if "is in force" in line}
+        assert len({line.split("epoch ")[1] for line in founded}) == len(founded)  # no number twice
+    assert started(3).log == snapshot
+
+
+def test_a_fourth_machine_is_taken_in_and_a_gone_one_let_out() -> None:
+    cores = started(5, 4)
+    assert cores.until(lambda: members(cores) == {"m0", "m1", "m2", "m3"}, 3.0)
+    cores.kill("m3")
+    assert cores.until(lambda: members(cores) == {"m0", "m1", "m2"}, 12.0)
+    cores.start("m3")
+    assert cores.until(lambda: members(cores) == {"m0", "m1", "m2", "m3"}, 5.0)
+
+
+def test_all_three_seeds_are_replaced() -> None:
+    cores = Cores(11, 6)
+    for ip in ("m0", "m1", "m2"):
+        cores.start(ip)
+    leader = cores.led(5.0) and cores.leaders()[0]
+    assert isinstance(leader, str) and cores.put(leader, 3, "three")
+    cores.run(0.5)
+    for old, new in (("m0", "m3"), ("m1", "m4"), ("m2", "m5")):
+        cores.start(new)
+        cores.run(1.5)
+        machine = cores.machines[old]
+        assert machine.member is not None
+        cores.carry(machine, machine.member.free(cores.now))
+        cores.run(0.2)
+        cores.kill(old)
+        assert cores.led(6.0), cores.log[-6:]
+        cores.run(2.5)
+    assert members(cores) == {"m3", "m4", "m5"} and cores.read(cores.leaders()[0]) == 3
+
+
+def members(cores: Cores) -> set[str]:
+    leaders = cores.leaders()
+    member = cores.machines[leaders[0]].member if leaders else None
+    return {m.partition("/")[0] for m in member.leading.members} if member and member.leading else set()
+
+
+@pytest.mark.parametrize("count", [3, 4])
+def test_a_lost_leader_is_replaced_soon(count: int) -> None:
+    waits = []
+    for seed in range(50):
+        cores = started(seed, count)
+        cores.run(1.0)
+        leader = cores.leaders()[0]
+        cores.kill(leader)
+        began = cores.now
+        assert cores.led(10.0)
+        first = cores.leaders()[0]
+        assert cores.put(first, 5, "five") and cores.acknowledged(5, 3.0)
+        waits.append(cores.now - began)
+    assert sorted(waits)[25] < 1.5 and max(waits) < 3.0
+
+
+@pytest.mark.parametrize("count", [3, 4])
+def test_the_aimed_loss(count: int) -> None:
+    """The primary without its disk while every other machine loses power, right after an acknowledgement."""
+    for seed in range(40):
+        cores = started(seed, count)
+        cores.run(1.5)
+        leader = cores.leaders()[0]
+        for version in (4, 9):
+            cores.put(leader, version, f"v{version}")
+            assert cores.acknowledged(version, 2.0)
+        cores.wipe(leader)
+        for ip in cores.machines:
+            cores.kill(ip)
+        cores.run(1.0)
+        assert cores.read(cores.settle()) == 9
+
+
+def test_a_backup_lost_with_its_disk_then_the_primary() -> None:
+    for seed in range(30):
+        cores = started(seed)
+        cores.run(1.0)
+        leader = cores.leaders()[0]
+        member = cores.machines[leader].member
+        assert member is not None and member.leading is not None
+        backup = member.leading.backup.partition("/")[0]
+        cores.put(leader, 4, "four")
+        assert cores.acknowledged(4, 2.0)
+        cores.wipe(backup)
+        cores.run(1.2)
+        cores.start(backup)
+        cores.run(4.0)  # what the operators give a machine to catch up
+        cores.wipe(cores.leaders()[0])
+        assert cores.read(cores.settle()) == 4
+
+
+@pytest.mark.parametrize("one_way", [False, True])
+def test_a_leader_that_is_cut_off_reads_nothing_old(one_way: bool) -> None:
+    for seed in range(30):
+        cores = started(seed, 3 + seed % 2)
+        cores.run(1.0)
+        leader = cores.leaders()[0]
+        for ip in cores.machines:
+            cores.cut.add((leader, ip))
+            if not one_way:
+                cores.cut.add((ip, leader))
+        for step in range(60):
+            cores.run(0.1)
+            for ip in cores.machines:
+                cores.read(ip)
+                if step == 40:
+                    cores.put(ip, 6, "six")
+        assert cores.highest == 6
+        assert cores.read(cores.settle()) == 6
+
+
+def apart(seed: int, make: Make = Member) -> Cores:
+    """Primary and backup do not hear one another, the witness hears both; changes and reads go on.
+
+    Just before the backup may try, the primary hears the witness no more: nobody tells it of another epoch.
+    """
+    cores = started(seed, 3, make)
+    cores.run(1.0)
+    member = cores.machines[cores.leaders()[0]].member
+    assert member is not None and member.leading is not None
+    pair = [m.partition("/")[0] for m in (member.leading.primary, member.leading.backup)]
+    cores.cut |= {(pair[0], pair[1]), (pair[1], pair[0])}
+    (witness,) = set(cores.machines) - set(pair)
+    for step in range(200):
+        if step == 68:
+            cores.cut.add((witness, pair[0]))
+        cores.run(0.01)
+        for ip in cores.machines:
+            cores.put(ip, step, f"{step} by {ip}")
+        cores.read_all()
+    return cores
+
+
+def test_a_primary_that_its_backup_does_not_hear_reads_nothing_old() -> None:
+    taken = 0
+    for seed in range(20):
+        cores = apart(seed)
+        taken += cores.highest > 0  # the two may go on meeting for longer than this lasts
+        assert cores.read(cores.settle()) is not None
+    assert taken > 15
+
+
+def test_a_disk_that_hangs_does_not_stop_the_core() -> None:
+    for seed in range(20):
+        cores = started(seed)
+        leader = cores.leaders()[0]
+        cores.machines[leader].disk.slow = 8.0
+        cores.put(leader, 4, "four")
+        cores.run(3.0)
+        cores.machines[leader].disk.slow = 0.008
+        cores.run(9.0)
+        for ip in cores.leaders():
+            cores.put(ip, 5, "five")
+        assert cores.acknowledged(5, 4.0)
+
+
+def test_random_schedules_keep_what_was_acknowledged() -> None:
+    changes = 0
+    for seed in range(SCHEDULES):
+        try:
+            changes += len(play(seed).acked)
+        except Broken as error:
+            raise AssertionError(f"seed {seed}: {error}") from error
+    assert changes > 3 * SCHEDULES
+
+
+def test_every_fault_at_every_step_of_two_changes() -> None:
+    """Pairs of them: `python -m bench.epochs`."""
+    steps = two_changes(())
+    assert steps >= 10
+    for step in range(steps):
+        for fault in placed(step):
+            two_changes((fault,))
+
+
+def test_a_vote_waits_for_the_disk_that_it_rests_on() -> None:
+    """A disk hangs with the record of an epoch in force; the vote for its primary must not overtake that."""
+    lease = Tell("b", {"k": "leased", "e": 3})
+    record = Keep(record=Record(3, "b/1", "a/1", ("a/1", "b/1", "c/1")))
+    assert passes(lease, [Keep(promised=(3, "b/1"))])
+    assert not passes(lease, [record])
+    assert passes(Tell("b", {"k": "write"}), [record]) and not passes(Tell("b", {"k": "accepted"}), [])
+
+
+def test_a_fault_at_some_step_shows_an_answer_after_one_disk() -> None:
+    with pytest.raises(Broken):
+        for step in range(two_changes((), Lonely)):
+            for fault in placed(step):
+                two_changes((fault,), Lonely)
+
+
+class Hasty(Member):
+    """Does not wait until a lease it stands by has ended."""
+
+    def on_promise(self, source: str, message: dict[str, object]) -> None:
+        self.leased_until = self.held_until = 0.0
+        super().on_promise(source, message)
+
+
+class Lonely(Member):
+    """Answers once its own disk has a change."""
+
+    def on_wrote(self, source: str, message: dict[str, object]) -> None:
+        for write in self.writes:
+            write.backup = True
+        super().on_wrote(source, message)
+
+
+class Forgetful(Member):
+    """Takes part below what it has promised."""
+
+    def on_write(self, source: str, message: dict[str, object]) -> None:
+        promised, self.promised = self.promised, 0
+        super().on_write(source, message)
+        self.promised = promised
+
+
+@pytest.mark.parametrize("broken", [Hasty, Lonely])
+def test_the_checker_finds_seeded_faults(broken: type[Member]) -> None:
+    with pytest.raises(Broken):
+        for seed in range(60):
+            apart(seed, broken)
+            play(seed, broken)
+
+
+def test_no_vote_for_an_epoch_that_may_not_be_on_disk_yet() -> None:
+    """Who first hears of an epoch by a lease might forget it with its process, and then vote for another."""
+    old = Record(2, "a/1", "b/1", ("a/1", "b/1", "c/1"))
+    member = Member(Kept("c/1", old, 2, "a/1", None), 100.0)
+    new = Record(3, "b/1", "a/1", old.members)
+    lease = {"k": "lease", "e": 3, "id": "b/1", "at": 5.0, "r": new.wire(), "v": -1}
+
+    def votes(now: float) -> list[str]:
+        return [a.message["k"] for a in member.handle(now, "b", lease) if isinstance(a, Tell)]
+
+    assert votes(101.0) == [] and member.record == new
+    assert votes(101.3) == [] and votes(102.3) == ["leased"]
