Directory: the registry that backends call, and numbered news to the doors

Need: nobody keeps a list but the system; a planned end binds every door in touch from its acknowledgement on. Ruled out: a registry agreed on by the core (a beat would need a leader); gossip among directories (bytes between zones, a second delay).

--- /dev/null
+++ b/ivymux/directory/program.py
@@ -0,0 +1,356 @@
+"""The directory's process: outside calls, held connections to the doors, the line to its own exchange."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import time
+from collections.abc import Coroutine
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from ivymux.directory.register import QUIESCING, CallError, Register
+from ivymux.door.front import Answer
+from ivymux.door.limits import Address, Bounds
+from ivymux.door.server import Server
+from ivymux.numbering.plan import MOST_TEXT, PlanError
+from ivymux.station.log import Log
+from ivymux.station.settings import Settings
+from ivymux.ticket import CONVERSATIONS
+from ivymux.trunk.desk import JSON, Asked, Desk, DeskFront, declare, fault
+from ivymux.trunk.frames import Message, pack
+from ivymux.trunk.line import Dialler, Line, Listener, TrunkError
+
+SILENT_BEATS = 2.3  # beats without a word after which a backend counts as lost
+CALL = 0.95  # seconds for which a call of the operator may take; after one it goes to another machine
+APPLIED_WAIT = 0.3  # of that, the most that is waited for doors to have a configuration in force
+HEARD_WAIT = 0.45  # seconds for which a call waits until the doors have heard
+SWEEP = 0.25
+MOST_BEAT = 16 * 1024  # bytes
+
+PASS = 0.88  # seconds for which a door's call about an action may take here
+MOST_PASSING = 4000
+DOORS_PART = 0.4  # of the descriptors, that doors may hold
+
+log = Log("directory")
+
+
+def note(name: str, version: int, text: str) -> Message:
+    return {"k": "note", "name": name, "v": version, "t": text}
+
+
+@dataclass(slots=True, eq=False)
+class DoorLine:
+    """A door that holds a connection here."""
+
+    line: Line
+    id: str
+    address: str
+    port: int
+    zone: str
+    acked: int = 0  # the last change that it has acknowledged
+    has: int = -1  # the version of the configuration that it has
+    waiters: list[tuple[int, asyncio.Future[None]]] = field(default_factory=list)
+
+
+class Directory:
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.run_id = secrets.token_hex(6)  # another run's numbers mean nothing here
+        self.steady_unix = time.time() - time.monotonic()
+        self.register = Register(SILENT_BEATS * settings.beat)
+        self.doors: dict[Line, DoorLine] = {}
+        # Of its descriptors a part is for doors, the rest for outside calls.
+        most_doors = max(64, int(settings.sockets * DOORS_PART))
+        self.listener = Listener(self.heard, on_down=self.lost, most=most_doors)
+        own = Address(settings.ip, settings.exchange_port)
+        self.exchange = Dialler(own, self.from_exchange, on_up=lambda line: line.send({"k": "desk"}))
+        self.version = -1
+        self.text = ""
+        self.applied: list[tuple[int, asyncio.Future[None]]] = []  # who waits for all doors, and for what
+        self.packed = b""  # the configuration's news, encoded once
+        self.cores: list[str] = [settings.ip]
+        self.desk = Desk(self)
+        calls = min(settings.sockets - 200 - most_doors, 2000)
+        bounds = Bounds.of(max(64, calls), settings.memory_mb)
+        self.server = Server(
+            DeskFront(self, MOST_TEXT), settings.listen["control_addr"], bounds, self.desk.as_host()
+        )
+        self.notes: dict[str, tuple[int, str]] = {}  # settings of the system's own, by name
+        self.passing: set[asyncio.Task[None]] = set()  # doors' calls about actions
+        self.spoilt = 0
+        self.ending = False
+        self.sweeper: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Raises OSError."""
+        await self.listener.start(Address(self.settings.ip, self.settings.directory_port))
+        await self.server.start()
+        self.sweeper = asyncio.get_running_loop().create_task(self.sweep())
+        log.say(f"takes calls on {self.server.listen.host}:{self.server.listen.port}.")
+
+    async def sweep(self) -> None:
+        while not self.ending:
+            await asyncio.sleep(SWEEP)
+            before = self.register.number
+            if self.register.sweep(time.monotonic()):
+                self.tell_since(before)
+
+    # --- doors -----------------------------------------------------------------------------------------
+
+    def heard(self, line: Line, message: Message) -> None:
+        try:
+            self.hear(line, message)
+        except (KeyError, TypeError, ValueError) as error:
+            self.spoilt += 1
+            if self.spoilt in (1, 10, 100, 1000):
+                log.say(f"a message that no door sends ended its connection: {error} ({self.spoilt} so far).")
+            line.abort()
+
+    def hear(self, line: Line, message: Message) -> None:
+        kind = message["k"]
+        if kind == "door":
+            self.welcome(line, message)
+            return
+        door = self.doors.get(line)
+        if door is None:
+            return
+        if kind == "ack":
+            door.acked = max(door.acked, int(message["n"]))
+            self.release(door)
+        elif kind == "have":
+            door.has = max(door.has, int(message["v"]))
+            self.release_applied()
+        elif kind == "want" and self.version >= 0:
+            line.write(self.packed)
+        elif kind in ("claim", "end"):
+            if len(self.passing) >= MOST_PASSING:
+                line.answer(message, ok=False)
+            else:
+                self.spawn(self.pass_on(line, message))
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(work)
+        self.passing.add(task)
+        task.add_done_callback(self.passing.discard)
+
+    async def pass_on(self, line: Line, message: Message) -> None:
+        """A door's call about an action goes to who leads the exchanges."""
+        asked = {name: value for name, value in message.items() if name != "n"}
+        try:
+            told = await self.exchange.call(asked, PASS)
+        except TrunkError:
+            told = {"ok": False}
+        line.answer(message, **{name: value for name, value in told.items() if name != "re"})
+
+    def release(self, door: DoorLine) -> None:
+        due = [w for w in door.waiters if w[0] <= door.acked]
+        door.waiters = [w for w in door.waiters if w[0] > door.acked]
+        for _, waiting in due:
+            if not waiting.done():
+                waiting.set_result(None)
+
+    def release_applied(self) -> None:
+        """Calls that wait until all doors have a configuration."""
+        least = min((door.has for door in self.doors.values()), default=1 << 62)
+        for version, waiting in self.applied:
+            if version <= least and not waiting.done():
+                waiting.set_result(None)
+
+    async def all_apply(self, version: int, most: float) -> None:
+        """Until each door that is connected has acknowledged a configuration, or `most` seconds are over."""
+        waiting: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.applied.append((version, waiting))
+        self.release_applied()
+        await asyncio.wait([waiting], timeout=max(0.0, most))
+        self.applied.remove((version, waiting))
+
+    def welcome(self, line: Line, message: Message) -> None:
+        """A door that comes: what it lacks, and the others are told of it."""
+        door = DoorLine(
+            line, str(message["id"]), str(message["ip"]), int(message["port"]), str(message["zone"])
+        )
+        now = time.monotonic()
+        news = self.register.since(int(message["n"]), now) if message["run"] == self.run_id else None
+        self.doors[line] = door
+        line.send(
+            {
+                "k": "here", "run": self.run_id, "n": self.register.number, "whole": news is None,
+                "i": self.register.whole(now) if news is None else news,
+                "doors": [[d.id, d.address, d.port, d.zone] for d in self.doors.values()],
+                "cores": self.cores, "t": self.steady_unix + now, "v": self.version,
+                "zone": self.settings.zone,
+            }
+        )  # fmt: skip
+        for name, (version, text) in self.notes.items():
+            line.send(note(name, version, text))
+        told = pack({"k": "door", "d": [door.id, door.address, door.port, door.zone], "on": True})
+        for other in self.doors.values():
+            if other is not door:
+                other.line.write(told)
+
+    def lost(self, line: Line) -> None:
+        door = self.doors.pop(line, None)
+        if door is None:
+            return
+        for _, waiting in door.waiters:
+            if not waiting.done():
+                waiting.set_result(None)
+        self.release_applied()
+        if any(d.id == door.id for d in self.doors.values()):
+            return
+        told = pack({"k": "door", "d": [door.id, door.address, door.port, door.zone], "on": False})
+        for other in self.doors.values():
+            other.line.write(told)
+
+    def tell_since(self, before: int) -> None:
+        """Changes of the register after a number go to all doors, encoded once."""
+        lines = self.register.since(before, time.monotonic()) or []
+        data = pack({"k": "news", "f": before, "n": self.register.number, "i": lines})
+        for door in self.doors.values():
+            door.line.write(data)
+
+    async def all_heard(self, number: int) -> None:
+        """Until each door that is connected has acknowledged a change, or HEARD_WAIT is over."""
+        waits = []
+        for door in self.doors.values():
+            if door.acked < number:
+                waiting: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+                door.waiters.append((number, waiting))
+                waits.append(waiting)
+        if waits:
+            await asyncio.wait(waits, timeout=HEARD_WAIT)
+
+    # --- the exchange ------------------------------------------------------------------------------------
+
+    def from_exchange(self, line: Line, message: Message) -> None:
+        kind = message.get("k")
+        if kind == "config":
+            version, text = int(message["v"]), str(message["t"])
+            if version > self.version:
+                self.version, self.text = version, text
+                self.packed = pack({"k": "text", "v": version, "t": text})
+                told = pack({"k": "config", "v": version})
+                for door in self.doors.values():
+                    door.line.write(told)
+        elif kind == "note":
+            name, version, text = str(message["name"]), int(message["v"]), str(message["t"])
+            if version > self.notes.get(name, (-1, ""))[0]:
+                self.notes[name] = version, text
+                data = pack(note(name, version, text))
+                for door in self.doors.values():
+                    door.line.write(data)
+        elif kind == "cores":
+            cores = [str(c) for c in message["l"]]
+            if cores != self.cores:
+                self.cores = cores
+                told = pack({"k": "cores", "l": cores})
+                for door in self.doors.values():
+                    door.line.write(told)
+
+    # --- outside calls -------------------------------------------------------------------------------------
+
+    @declare("PUT", "/instances/{}")
+    async def beat(self, asked: Asked) -> Answer:
+        if len(asked.body) > MOST_BEAT:
+            return fault(413, f"a call of {len(asked.body)} bytes; {MOST_BEAT} at most")
+        before = self.register.number
+        try:
+            changed = self.register.beat(asked.name, msgspec.json.decode(asked.body), time.monotonic())
+        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+            return fault(400, "the body is no whole JSON")
+        except CallError as error:
+            return fault(400, str(error))
+        if changed:
+            self.tell_since(before)
+        record = self.register.records[asked.name]
+        if changed or record.state == QUIESCING:  # also where an earlier call of the same was cut short
+            await self.all_heard(record.number)
+        own = self.server.listen
+        return Answer(200, msgspec.json.encode({"beat_target": f"{own.host}:{own.port}"}), JSON)
+
+    @declare("DELETE", "/instances/{}")
+    async def leave(self, asked: Asked) -> Answer:
+        before = self.register.number
+        if self.register.leave(asked.name, time.monotonic()):
+            self.tell_since(before)
+            await self.all_heard(self.register.number)
+        return Answer(200, b"{}", JSON)
+
+    @declare("PUT", "/configuration")
+    async def put(self, asked: Asked) -> Answer:
+        from ivymux.numbering.checked import plan_of  # it takes long to import: not at the start
+
+        try:
+            plan = plan_of(asked.body)
+            text = asked.body.decode()
+        except PlanError as error:
+            return fault(400, str(error))
+        except UnicodeDecodeError:
+            return fault(400, "the configuration is not UTF-8")
+        began = time.monotonic()
+        if (refused := await self.not_stored({"k": "put", "v": plan.version, "t": text})) is not None:
+            return refused
+        # It holds whatever the doors do; but those in touch have it in force before the operator hears so.
+        await self.all_apply(plan.version, min(APPLIED_WAIT, CALL - (time.monotonic() - began)))
+        return Answer(200, msgspec.json.encode({"config_version": plan.version}), JSON)
+
+    async def not_stored(self, message: Message) -> Answer | None:
+        """Have a change taken by the exchanges; None once it is, else what its operator is told."""
+        try:
+            told = await self.exchange.call(message, CALL)
+        except TrunkError as error:
+            return fault(503, f"the store of configuration does not answer: {error}; repeat the call")
+        if not told.get("ok"):
+            return fault(503, "no core machine can take a change just now; repeat the call")
+        return None
+
+    @declare("GET", "/configuration")
+    async def get(self, asked: Asked) -> Answer:
+        try:
+            told = await self.exchange.call({"k": "get"}, 0.9)
+        except TrunkError as error:
+            return fault(503, f"the store of configuration does not answer: {error}; repeat the call")
+        if not told.get("ok"):
+            return fault(
+                503, "no core machine can answer for the newest configuration just now; repeat the call"
+            )
+        if int(told["v"]) < 0:
+            return fault(404, "there is no configuration yet; send one by PUT /configuration")
+        return Answer(200, str(told["t"]).encode(), JSON)
+
+    @declare("PUT", "/conversations")
+    async def put_conversations(self, asked: Asked) -> Answer:
+        from ivymux.ticket.checked import read  # it takes long to import: not at the start
+        from ivymux.ticket.terms import TermsError
+
+        try:
+            terms = read(asked.body)
+            text = asked.body.decode()
+        except TermsError as error:
+            return fault(400, str(error))
+        message = {"k": "note", "name": CONVERSATIONS, "v": terms.version, "t": text}
+        if (refused := await self.not_stored(message)) is not None:
+            return refused
+        return Answer(200, msgspec.json.encode({"settings_version": terms.version}), JSON)
+
+    @declare("GET", "/conversations")
+    async def get_conversations(self, asked: Asked) -> Answer:
+        """As this machine knows them; a core machine that is cut off may know older ones."""
+        _, text = self.notes.get(CONVERSATIONS, (-1, ""))
+        if not text:
+            return fault(404, "there are no settings of conversations; the defaults are in force")
+        return Answer(200, text.encode(), JSON)
+
+    async def stop(self) -> None:
+        """Calls that are on their way are answered; doors learn of it by their connections' end."""
+        self.server.stop_listening()
+        until = time.monotonic() + 1.0
+        while self.desk.tasks and time.monotonic() < until:
+            await asyncio.wait(self.desk.tasks, timeout=0.1)
+        self.ending = True
+        self.server.close()
+        self.listener.close()
+        self.exchange.close()
--- /dev/null
+++ b/tests/directory/test_calls.py
@@ -0,0 +1,51 @@
+"""Outside calls that end before they are whole."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+from ivymux.directory.program import Directory
+from ivymux.directory.register import UP
+from ivymux.station.settings import load
+from ivymux.testdesk.lab import Lab
+
+from ..sockets import run, until
+
+BODY = json.dumps(
+    {
+        "service_name": "archive", "address": "10.0.0.9:80", "zone_name": "hall", "config_version": "v1",
+        "capacity": 2, "oper_state": "in_service", "warmup_left": "0ms", "call_seq": 1,
+    }
+).encode()  # fmt: skip
+CALL = b"PUT /instances/i-1 HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s" % (len(BODY), BODY)
+
+
+def test_a_call_cut_at_any_byte_changes_nothing(tmp_path: Path) -> None:
+    async def test() -> None:
+        lab = Lab(tmp_path)
+        directory = Directory(load(lab.settings(lab.cores[0], True)))
+        await directory.start()
+        listen = directory.server.listen
+        for size in range(len(CALL)):
+            reader, writer = await asyncio.open_connection(listen.host, listen.port)
+            writer.write(CALL[:size])
+            writer.write_eof()
+            assert b" 200 " not in await reader.read()
+            writer.close()
+        await until(lambda: not directory.server.clients)
+        assert not directory.register.records and directory.register.number == 0
+        # One byte of the body short, and the connection stays: nothing is done before the call is whole.
+        reader, writer = await asyncio.open_connection(listen.host, listen.port)
+        writer.write(CALL[:-1])
+        await until(lambda: any(client.headed for client in directory.server.clients))
+        assert not directory.register.records
+        writer.write(CALL[-1:])
+        assert b" 200 " in await reader.readline()
+        assert directory.register.records["i-1"].state == UP
+        writer.close()
+        await directory.stop()
+        await lab.close()
+
+    run(test())
