Conversations: an action with a caller's key runs once, and stays with its backend

Need: the users' words: an approval or a message lands once though doors come and go. Ruled out: holders at doors (no disk; a loss of all doors loses the intents), a claim after the send (a door killed between the two runs it twice). Not loaded where no key is sent.

--- /dev/null
+++ b/ivymux/switchboard/keyed.py
@@ -0,0 +1,72 @@
+"""Actions with keys at a door: their claims, their conversations' homes, and the settings of both.
+
+Imported with the first such action: a door that sees none starts without it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from ivymux.door.front import Headers
+from ivymux.numbering.plan import Route
+from ivymux.station.log import Log
+from ivymux.switchboard.actions import action
+from ivymux.switchboard.claims import Claim, Claims
+from ivymux.switchboard.roll import UP, Backend
+from ivymux.ticket.homes import BUCKETS, Homes, bucket
+from ivymux.ticket.terms import TermsError, read
+from ivymux.trunk.line import Dialler
+
+log = Log("switchboard")
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """What an action's key makes of its request."""
+
+    claim: Claim
+    service: str
+    home: str  # the backend of its conversation, by its id; empty where there is none
+
+
+class Keyed:
+    def __init__(self, lines: Callable[[], list[Dialler]], backends: Callable[[], Iterable[Backend]]) -> None:
+        """`lines`: to the core, the nearest first; `backends`: all that the door knows."""
+        self.claims, self.homes = Claims(lines), Homes()
+        self.backends = backends
+        self.stale = True  # whether backends have come or gone since homes were made
+
+    def take(
+        self, route: Route, headers: Headers, tenant: str, auth: bytes, method: bytes, host: bytes,
+        target: bytes, body: bytes, end: float, name: bytes,
+    ) -> Taken:  # fmt: skip
+        """Raises BadRequest for what is no key."""
+        header = self.claims.terms.header
+        made = action(headers, tenant, auth, header, method, host, target, body)
+        at = bucket(tenant, made.name)
+        service = route.service((at + 0.5) / BUCKETS)  # a conversation stays with one service of a split too
+        return Taken(self.claims.make(made, end, name), service, self.home(service, at))
+
+    def home(self, service: str, at: int) -> str:
+        """The backend that a bucket of conversations goes to."""
+        if self.stale:
+            self.stale = False
+            there: dict[str, dict[str, int]] = {name: {} for name in self.homes.backends}
+            for backend in self.backends():
+                if backend.state == UP:
+                    there.setdefault(backend.service, {})[backend.id] = backend.capacity
+            for name, backends in there.items():
+                self.homes.set(name, backends)
+        return self.homes.home(service, at)
+
+    def use(self, text: str) -> None:
+        """Settings of conversations, as the core tells them; older ones change nothing."""
+        try:
+            terms = read(text.encode())
+        except TermsError as error:
+            log.say(f"settings of conversations that cannot be used here: {error}.")
+            return
+        if terms.version > self.claims.terms.version:
+            self.claims.terms = terms
+            log.say(f"settings {terms.version} of conversations are in force.")
