--- /dev/null
+++ b/bench/conversations.py
@@ -0,0 +1,154 @@
+"""Actions with a caller's key beside actions without: CPU at the door, time, memory at the core.
+
+    python -m bench.conversations [--quick] [--json FILE|-]
+
+Three core machines, so many doors, backends that seal their answers; rounds in turn, all on one machine.  A
+sync of the disk takes here what this machine's takes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from bench.common import Child, Load, arguments, figure, quantile, report
+from bench.parts import ANSWER
+from bench.routes import WORKERS
+from bench.system import CORES, TENANTS, System, document
+from ivymux.door.front import Answer
+from ivymux.switchboard.actions import kept
+from ivymux.ticket.book import DONE, KEY_DIGITS, Ticket
+from ivymux.trunk.frames import pack
+
+DOORS = (3, 8, 32)
+CONNECTIONS = 32  # in all
+PAUSE = 0.02  # seconds between the actions of one
+KNOWN = 10_000  # keys behind which memory is measured
+
+numbers = itertools.count(1)
+
+
+class Actions(Load):
+    """Actions, each with a key of its own or none."""
+
+    def __init__(self, count: int, keyed: bool) -> None:
+        super().__init__([b""], len(ANSWER), count, PAUSE)
+        self.requests = self  # type: ignore[assignment]
+        self.keyed = keyed
+
+    def __len__(self) -> int:
+        return 1 << 60
+
+    def __getitem__(self, turn: int) -> bytes:
+        number = next(numbers)
+        key = b'Idempotency-Key: "action-%d"\r\n' % number if self.keyed else b""
+        return (
+            b"POST /acts/%d HTTP/1.1\r\nHost: h.example\r\nTry-Id: %016x\r\nTime-Remaining: 9000\r\n"
+            b"Authorization: Bearer key-%d\r\n%sContent-Length: 3\r\n\r\nyes"
+        ) % (number, number, turn % TENANTS, key)
+
+
+def with_actions() -> dict[str, Any]:
+    made = document()
+    (read,) = made["route_table"]
+    act = {**read, "name": "act", "path_prefix": "/acts/", "route_type": "non_idempotent"}
+    return {**made, "route_table": [read, act]}
+
+
+async def round_of(doors: dict[str, Child], port: int, keyed: bool, count: int) -> tuple[float, float]:
+    """Microseconds of CPU for each action at the doors, and the median time in ms; all doors at once."""
+    loads = {ip: Actions(count, keyed) for ip in doors}
+    before = sum(door.cpu() for door in doors.values())
+    each = max(1, CONNECTIONS // len(doors))
+    await asyncio.gather(*(load.run(port, each, ip) for ip, load in loads.items()))
+    spent = sum(door.cpu() for door in doors.values()) - before
+    times = [t for load in loads.values() for t in load.times]
+    return spent / (count * len(doors)) * 1e6, 1000 * quantile(times, 0.5)
+
+
+async def measure(quick: bool, folder: Path, count: int) -> tuple[dict[str, Any], dict[str, float]]:
+    each, runs = max(10, (400 if quick else 1200) // count), 5 if quick else 11
+    sealed = [Child("-m", "bench.parts", "sealed") for _ in range(WORKERS)]
+    system = System(folder, with_actions())
+    try:
+        for ip in CORES:
+            system.start(ip, "exchange")
+            system.start(ip, "directory")
+        doors = {ip: system.start(ip, "switchboard") for ip in (f"127.0.0.{10 + n}" for n in range(count))}
+        await system.take(sealed)
+        beating = asyncio.get_running_loop().create_task(system.beat(sealed))
+        for ip in doors:
+            await system.serves(ip)
+        cpu: dict[bool, list[float]] = {False: [], True: []}
+        times: dict[bool, list[float]] = {False: [], True: []}
+        for run in range(runs + 1):
+            for keyed in (False, True):
+                spent, median = await round_of(doors, system.front, keyed, each)
+                if run:
+                    cpu[keyed].append(spent)
+                    times[keyed].append(median)
+        core = [c for c in system.children if c not in doors.values()]
+        before = max(c.peak_mb() for c in core)
+        if count == DOORS[0]:
+            await Actions(KNOWN, True).run(system.front, 200, next(iter(doors)))
+        beating.cancel()
+        figures = {}
+        for keyed, name in ((False, "without a key"), (True, "with one")):
+            figures[f"{count} doors: CPU for each action {name}"] = figure(cpu[keyed], "us")
+            figures[f"{count} doors: median time of an action {name}"] = figure(times[keyed], "ms")
+        if count == DOORS[0]:
+            figures[f"peak memory of a core process, before and after {KNOWN} keys more"] = figure(
+                [before, max(c.peak_mb() for c in core)], "MB"
+            )
+    finally:
+        for child in (*sealed, *system.children):
+            child.stop()
+    pairs = sorted(a / b for a, b in zip(cpu[True], cpu[False], strict=True))
+    slower = sorted(a / b for a, b in zip(times[True], times[False], strict=True))
+    return figures, {
+        f"{count} doors: CPU with a key over without": pairs[len(pairs) // 2],
+        f"{count} doors: median time with a key over without": slower[len(slower) // 2],
+    }
+
+
+def between() -> float:
+    """Bytes from an exchange to who leads, from there to the backup and back, for a claim and its end."""
+    ticket = Ticket("a" * KEY_DIGITS, "partner-one", f"{'b' * 16}/12345", "c" * 16, "d" * 16, 3.2)
+    fields = [(b"content-type", b"text/plain"), (b"server-seal", b"e" * 24)]
+    answer = kept(Answer(200, ANSWER, headers=fields), 9999)
+    claim = {"k": "claim", "t": ticket.wire()[:6], "passed": True, "w": 0.85, "n": 1234}
+    end = {"k": "end", "key": ticket.key, "c": ticket.claim, "s": DONE, "a": answer, "passed": True}
+    end |= {"w": 0.85, "n": 1234}
+    told = {"re": 1234, "ok": True, "verdict": "go", "after": 0.0, "answer": "", "what": ""}
+    total = sum(len(pack(m)) for m in (claim, end, told, {"re": 1234, "ok": True}))
+    for state, text in (("open", ""), (DONE, answer)):
+        copy = replace(ticket, state=state, answer=text, number=7 << 32)
+        total += len(pack({"k": "jot", "t": copy.wire(), "id": "10.1.0.33/first", "e": 7}))
+        total += len(pack({"k": "jotted", "id": "10.2.0.33/first", "e": 7, "n": 7 << 32}))
+    return float(total)
+
+
+async def main() -> None:
+    args = arguments("conversations")
+    figures: dict[str, Any] = {}
+    ratios: dict[str, float] = {}
+    for count in DOORS:
+        with tempfile.TemporaryDirectory() as name:
+            found, compared = await measure(args.quick, Path(name), count)
+        figures |= found
+        ratios |= compared
+    figures["bytes between core machines for an action with a key"] = figure([between()], "bytes")
+    load = (
+        f"{CONNECTIONS} connections, {PAUSE} s between their actions, {TENANTS} tenants, {WORKERS} backends"
+    )
+    report(args, load, figures, ratios)
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
--- /dev/null
+++ b/bench/epochs.py
@@ -0,0 +1,111 @@
+"""Epochs under faults: random schedules, every pair of faults at every step, and how long a takeover takes.
+
+    python -m bench.epochs [--quick] [--schedules N] [--first SEED] [--jobs N] [--json FILE|-]
+    python -m bench.epochs --play 4:kill:m0,9:wipe:m0     # one pair again
+
+A model (ivymux/testdesk/cores.py, schedules.py) in simulated time.  A broken promise ends the run with the
+seed or the faults that play it again.
+"""
+
+from __future__ import annotations
+
+import multiprocessing
+import time
+from collections.abc import Iterator
+
+from bench.common import figure, parser, report
+from ivymux.testdesk.cores import Broken, Cores
+from ivymux.testdesk.schedules import Fault, after, placed, play, two_changes
+
+QUICK = 400
+SCHEDULES = 100_000
+TAKEOVERS = 50
+Pair = tuple[Fault, ...]
+
+
+def seeds(span: range) -> tuple[int, str]:
+    """Changes acknowledged in some random schedules, and the first promise that was not kept."""
+    changes = 0
+    for seed in span:
+        try:
+            changes += len(play(seed).acked)
+        except Broken as error:
+            return changes, f"seed {seed}: {error}"
+    return changes, ""
+
+
+def pairs_behind(first: Fault) -> tuple[int, str]:
+    """Runs with a fault and each that can come behind it."""
+    runs = 1
+    faults: Pair = (first,)
+    try:
+        steps = two_changes(faults)
+        for faults in after(first, steps):
+            runs += 1
+            two_changes(faults)
+    except Broken as error:
+        return runs, f"{','.join(map(str, faults))}: {error}"
+    return runs, ""
+
+
+def takeover(case: tuple[int, int]) -> float:
+    """Seconds from a lost leader to a change that is acknowledged."""
+    seed, count = case
+    cores = Cores(seed, count)
+    for ip in cores.machines:
+        cores.start_at(cores.random.uniform(0, 0.3), ip)
+    cores.run(0.5)
+    cores.settle()
+    cores.run(1.0)
+    cores.kill(cores.leaders()[0])
+    began = cores.now
+    if not cores.led(10.0) or not cores.put(cores.leaders()[0], 5, "five") or not cores.acknowledged(5, 3.0):
+        raise AssertionError(f"seed {seed}: no change is acknowledged behind a lost leader")
+    return cores.now - began
+
+
+def checked(results: Iterator[tuple[int, str]]) -> int:
+    total = 0
+    for done, broken in results:
+        total += done
+        if broken:
+            raise AssertionError(broken)
+    return total
+
+
+def main() -> None:
+    arguments = parser("epochs")
+    arguments.add_argument("--schedules", type=int, default=0)
+    arguments.add_argument("--first", type=int, default=1_000_000)
+    arguments.add_argument("--jobs", type=int, default=multiprocessing.cpu_count())
+    arguments.add_argument("--play", default="")
+    args = arguments.parse_args()
+    if args.play:
+        print("steps:", two_changes(tuple(Fault.read(text) for text in args.play.split(","))))
+        return
+    wanted = args.schedules or (QUICK if args.quick else SCHEDULES)
+    began = time.monotonic()
+    with multiprocessing.Pool(args.jobs) as pool:
+        end = args.first + wanted
+        spans = [range(n, min(n + 50, end)) for n in range(args.first, end, 50)]
+        changes = checked(pool.imap_unordered(seeds, spans))
+        played_s = time.monotonic() - began
+        steps = two_changes(())
+        firsts = [fault for step in range(steps) for fault in placed(step)]
+        firsts = firsts[:: 25 if args.quick else 1]
+        runs = checked(pool.imap_unordered(pairs_behind, firsts))
+        waits = {n: pool.map(takeover, [(seed, n) for seed in range(TAKEOVERS)]) for n in (3, 4)}
+    figures = {
+        "random schedules": figure([wanted], "schedules"),
+        "changes acknowledged in them": figure([changes], "changes"),
+        "schedules in a second": figure([wanted / played_s], "schedules/s"),
+        "steps of two changes without a fault": figure([steps], "steps"),
+        "runs with one or two faults": figure([runs], "runs"),
+    }
+    for count, spent in waits.items():
+        figures[f"from a lost leader of {count} to a change acknowledged"] = figure(spent, "s")
+    report(args, f"seeds from {args.first} on; {len(firsts)} first faults", figures, {})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/evening.py
@@ -0,0 +1,91 @@
+"""The busy evening: conversations over doors, backends and a leader that come and go, real processes.
+
+    python -m bench.evening [--quick] [--seconds N] [--seed N] [--json FILE|-] [--page FILE]
+
+Ends with an error where an action had two effects, or an answer that is not true.  `--page` writes a page
+with plots (needs matplotlib, extra `bench`).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import io
+import tempfile
+from pathlib import Path
+from typing import Any
+
+from bench.common import figure, parser, report
+from ivymux.testdesk.evening import Evening, Play, Size
+from ivymux.testdesk.lab import lab
+
+NEVER = ("doubled", "answered and without effect", "refused and with effect")
+
+
+def play(size: Size, seed: int, folder: Path) -> Evening:
+    evening = Evening(size, seed)
+
+    async def run() -> None:
+        async with lab(folder, 3, size.doors, most=size.seconds + 120) as it:
+            await Play(it, evening).run()
+
+    asyncio.run(run())
+    return evening
+
+
+def page(evening: Evening, found: dict[str, Any]) -> str:
+    """An HTML page: nodes over time, conversations by backend, each partner's latency."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot as plt
+
+    figure_, axes = plt.subplots(3, 1, figsize=(11, 11))
+    axes[0].step([t for t, _ in evening.serving], [n for _, n in evening.serving], where="post")
+    for at, kind, _ in evening.what:
+        axes[0].axvline(at, color="tab:red" if kind in ("kill", "leader") else "0.85", linewidth=0.8)
+    axes[0].set(title="doors in service; red: a kill, the lost leader", xlabel="s", ylim=(0, None))
+    by: dict[str, int] = {}
+    for seen in evening.by.values():
+        for _, backend in seen:
+            by[backend] = by.get(backend, 0) + 1
+    axes[1].bar(range(len(by)), list(by.values()))
+    axes[1].set_xticks(range(len(by)), list(by), rotation=70, fontsize=6)
+    axes[1].set(title="effects by backend")
+    partners = sorted({t.partner for t in evening.told})
+    spent = [[1000 * t.took for t in evening.told if t.partner == p and t.end == "done"] for p in partners]
+    axes[2].boxplot(spent, tick_labels=partners, whis=(1, 99), showfliers=False)
+    axes[2].set(title="ms to an answer, each partner (1, 25, 50, 75, 99 of 100)", yscale="log")
+    figure_.tight_layout()
+    data = io.BytesIO()
+    figure_.savefig(data, format="png", dpi=90)
+    rows = "".join(f"<tr><td>{name}</td><td>{value}</td></tr>" for name, value in found.items())
+    image = base64.b64encode(data.getvalue()).decode()
+    return (
+        "<!doctype html><meta charset=utf-8><title>A busy evening</title><h1>A busy evening</h1>"
+        f'<table>{rows}</table><img src="data:image/png;base64,{image}" alt="plots">'
+    )
+
+
+def main() -> None:
+    arguments = parser("evening")
+    arguments.add_argument("--seconds", type=float, default=600.0)
+    arguments.add_argument("--seed", type=int, default=1)
+    arguments.add_argument("--page", type=Path)
+    args = arguments.parse_args()
+    size = Size(seconds=20.0 if args.quick else args.seconds)
+    with tempfile.TemporaryDirectory() as folder:
+        evening = play(size, args.seed, Path(folder))
+    found = evening.report()
+    if args.page is not None:
+        args.page.write_text(page(evening, found))
+    for name in NEVER:
+        if found[name]:
+            raise AssertionError(f"{name}: {found[name]}")
+    figures = {n: figure([v], "") for n, v in found.items() if isinstance(v, int | float)}
+    load = f"{size.seconds:.0f} s, {found['troubles']}, reads {found['reads']}"
+    report(args, load, figures, {})
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/quotas.py
@@ -0,0 +1,77 @@
+"""The same load over 11 to 1,000 doors of the system: what quotas let through, and what that costs.
+
+    python -m bench.quotas [--quick] [--json FILE|-]
+
+A model (ivymux/testdesk/quotas.py): all doors' decisions, one holder, tenants; no clock and no socket, so a
+run has the same figures on every machine.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from bench.common import figure, parser, report
+from ivymux.testdesk.quotas import START, Doors, Tenant, plan
+
+DOORS = (11, 85, 300, 1000)
+SECONDS = 15.0
+TENANTS = ((198.0, 0.6), (66.0, 0.8), (20.0, 0.6), (8.0, 0.6), (2.0, 0.5))  # rate and burst; part asked for
+HOT = 1  # the one that floods, at nine times its usual from FLOOD on
+FLOOD = (5.0, 10.0)
+
+
+def tenants(flood: bool) -> list[Tenant]:
+    def asks(rate: float, part: float, hot: bool) -> Any:
+        return lambda s: rate * part * (9.0 if hot and FLOOD[0] <= s < FLOOD[1] else 1.0)
+
+    return [
+        Tenant(plan(f"t{n}", rate, rate), asks(rate, part, flood and n == HOT))
+        for n, (rate, part) in enumerate(TENANTS)
+    ]
+
+
+def used(tenant: Tenant) -> float:
+    """Of what the rule leaves beyond the quota, the part that was used in the worst 5 s."""
+    whole = 5 * tenant.plan.rate + tenant.plan.burst
+    return (tenant.most(5.0) - whole) / (tenant.allowed() - whole)
+
+
+def main() -> None:
+    args = parser("quotas").parse_args()
+    doors, seeds, seconds = (DOORS[:3], (1,), 11.0) if args.quick else (DOORS, (1, 2, 3), SECONDS)
+    figures: dict[str, Any] = {}
+    ratios: dict[str, float] = {}
+    for count in doors:
+        calls: list[float] = []
+        refused: list[float] = []
+        worst: list[float] = []
+        lost: list[float] = []
+        for seed in seeds:
+            for trouble in ("", "flood", "lost counts"):
+                made = Doors(count, tenants(trouble != ""), seed)
+                if trouble == "lost counts":
+                    made.at(START + 6.0, made.lose_counts)
+                made.run(seconds)
+                most = max(used(t) for t in made.tenants)
+                if most > 1:
+                    raise AssertionError(f"{count} doors, seed {seed}, {trouble}: a quota was passed")
+                (lost if trouble == "lost counts" else worst).append(most)
+                if not trouble:
+                    asked = sum(t.asked for t in made.tenants)
+                    calls.append(made.calls.total() / asked)
+                    refused.append(sum(t.given_up for t in made.tenants) / asked)
+                quiet = [t for n, t in enumerate(made.tenants) if n != HOT]
+                given_up = sum(t.given_up for t in quiet) / sum(t.asked for t in quiet)
+                ratios[f"{count} doors, seed {seed}, {trouble or 'calm'}: others refused in their quota"] = (
+                    given_up
+                )
+        figures[f"{count} doors: calls to holders for each request"] = figure(calls, "calls")
+        figures[f"{count} doors: refused to the end inside quotas, calm"] = figure(refused, "of requests")
+        figures[f"{count} doors: used of what the rule leaves, worst tenant"] = figure(worst, "part")
+        figures[f"{count} doors: the same where counts are lost in a flood"] = figure(lost, "part")
+    load = f"{len(TENANTS)} tenants, {sum(r * p for r, p in TENANTS):.0f} requests a second, {seconds:.0f} s"
+    report(args, load, figures, ratios)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/system.py
@@ -0,0 +1,183 @@
+"""A door of the system beside the platform's: CPU for each request, in turn in one run; start and memory.
+
+`python -m bench.system [--quick] [--json FILE|-]`
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import os
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import httpx
+import uvloop
+import yaml
+
+from bench.common import Child, arguments, figure, report
+from bench.parts import ANSWER
+from bench.routes import (
+    CONNECTIONS,
+    CUSTOMERS,
+    WORKERS,
+    PlatformLoad,
+    cpu_for_each,
+    free_port,
+    listening,
+    platform_config,
+)  # fmt: skip
+
+CORES = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
+TENANTS = 8
+
+
+def document() -> dict[str, Any]:
+    return {
+        "config_version": 1,
+        "route_table": [
+            {
+                "name": "read", "host_name": "h.example", "path_prefix": "/meetings/", "deadline": "9s",
+                "route_type": "idempotent", "target": "2s", "service_name": "archive", "max_attempts": 2,
+            }
+        ],
+        "service_table": [{"name": "archive"}],
+        "tenant_table": [
+            {"name": f"t{n}", "api_keys": [f"key-{n}"], "rate_per_s": 10_000, "burst_size": 20_000}
+            for n in range(TENANTS)
+        ],
+    }  # fmt: skip
+
+
+class SystemLoad(PlatformLoad):
+    def __getitem__(self, turn: int) -> bytes:
+        self.number += 1
+        return (
+            b"GET /meetings/%d HTTP/1.1\r\nHost: h.example\r\nTry-Id: %016x\r\nTime-Remaining: 9000\r\n"
+            b"Authorization: Bearer key-%d\r\n\r\n"
+        ) % (turn % CUSTOMERS, self.number, turn % TENANTS)
+
+
+class System:
+    """Three core machines and a door on loopback addresses."""
+
+    def __init__(self, folder: Path, configuration: dict[str, Any] | None = None) -> None:
+        self.folder, self.children = folder, list[Child]()
+        self.configuration = configuration or document()
+        self.descriptors = 1300  # of a process
+        self.seq = itertools.count(1)
+        self.control, self.front, self.ready, self.inner = free_port(), free_port(), free_port(), free_port()
+
+    def start(self, ip: str, role: str) -> Child:
+        listen = {"control_addr": f"{ip}:{self.control}"}
+        if role == "switchboard":
+            listen = {"front_addr": f"{ip}:{self.front}", "ready_addr": f"{ip}:{self.ready}"}
+        path = self.folder / f"{role}-{ip}.yaml"
+        path.write_text(yaml.safe_dump({
+            "self_entity": {"node_name": ip, "ip_address": ip, "zone_name": "a", "initial_start": True,
+                            "data_path": str(self.folder / ip),
+                            "limits": {"memory_mb": 512, "fd_limit": self.descriptors}},
+            "network_table": {"listen_addrs": listen, "inner_port_range": [self.inner, self.inner + 3],
+                              "seed_nodes": [f"{core}:{self.control}" for core in CORES]},
+        }))  # fmt: skip
+        env = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")}
+        made = Child("-m", "ivymux", role, "--settings", str(path), env=env, prints_port=False)
+        self.children.append(made)
+        return made
+
+    async def take(self, workers: list[Child]) -> None:
+        """A configuration and the backends, once the core takes them."""
+        async with httpx.AsyncClient(trust_env=False, timeout=2.0) as http:
+            calls: list[tuple[str, Any]] = [("/configuration", self.configuration)]
+            calls += [
+                (f"/instances/w{n}", {"service_name": "archive", "address": w.address, "zone_name": "a",
+                                      "capacity": 20, "oper_state": "in_service", "call_seq": next(self.seq)})
+                for n, w in enumerate(workers)
+            ]  # fmt: skip
+            async with asyncio.timeout(30):
+                for path, body in calls:
+                    while True:
+                        try:
+                            url = f"http://{CORES[0]}:{self.control}{path}"
+                            if (await http.put(url, content=json.dumps(body))).status_code == 200:
+                                break
+                        except httpx.HTTPError:
+                            pass
+                        await asyncio.sleep(0.02)
+
+    async def beat(self, workers: list[Child]) -> None:
+        while True:
+            await self.take(workers)
+            await asyncio.sleep(1)
+
+    async def serves(self, ip: str = "127.0.0.1") -> None:
+        async with httpx.AsyncClient(trust_env=False, timeout=2.0) as http, asyncio.timeout(30):
+            while True:
+                try:
+                    if (await http.get(f"http://{ip}:{self.ready}/readiness")).status_code == 200:
+                        return
+                except httpx.HTTPError:
+                    pass
+                await asyncio.sleep(0.005)
+
+
+async def measure(quick: bool, folder: Path) -> tuple[dict[str, Any], dict[str, float]]:
+    count, runs = (1_000, 7) if quick else (3_000, 21)
+    workers = [Child("-m", "bench.parts", "worker") for _ in range(WORKERS)]
+    sealed = [Child("-m", "bench.parts", "sealed") for _ in range(WORKERS)]
+    tally = Child("-m", "bench.parts", "tally")
+    system, port = System(folder), free_port()
+    env = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")}
+    platform = Child(
+        "-m", "ivymux", prints_port=False,
+        env=env | {"NODE_CONFIG": str(platform_config(folder, workers, tally, port))},
+    )  # fmt: skip
+    try:
+        for ip in CORES:
+            system.start(ip, "exchange")
+            system.start(ip, "directory")
+        began = time.perf_counter()
+        door = system.start("127.0.0.1", "switchboard")
+        await system.take(sealed)
+        beating = asyncio.get_running_loop().create_task(system.beat(sealed))
+        await system.serves()
+        started = time.perf_counter() - began
+        await listening(port)
+        spent: dict[str, list[float]] = {"platform": [], "system": []}
+        for run in range(runs + 1):
+            of_platform = await cpu_for_each(platform, PlatformLoad(count), port)
+            of_system = await cpu_for_each(door, SystemLoad(count), system.front)
+            if run:  # the first warms up
+                spent["platform"].append(of_platform)
+                spent["system"].append(of_system)
+        before, since = door.cpu(), time.perf_counter()
+        await asyncio.sleep(3)
+        idle = (door.cpu() - before) / (time.perf_counter() - since)
+        figures = {f"CPU for each request, {name}": figure(values, "us") for name, values in spent.items()}
+        figures["idle CPU of a door"] = figure([100 * idle], "% of a core")
+        figures["peak memory of a door"] = figure([door.peak_mb()], "MB")
+        figures["peak memory of a core process"] = figure([c.peak_mb() for c in system.children[:-1]], "MB")
+        figures["core and door started, configuration in force"] = figure([started], "s")
+        beating.cancel()
+    finally:
+        for child in (*workers, *sealed, tally, platform, *system.children):
+            child.stop()
+    pairs = sorted(a / b for a, b in zip(spent["system"], spent["platform"], strict=True))
+    return figures, {"system over platform": pairs[len(pairs) // 2]}
+
+
+async def main() -> None:
+    args = arguments("system")
+    with tempfile.TemporaryDirectory() as name:
+        figures, ratios = await measure(args.quick, Path(name))
+    workload = (
+        f"{CONNECTIONS} connections, {TENANTS} tenants, {WORKERS} backends; GET with {len(ANSWER)} bytes"
+    )
+    report(args, workload, figures, ratios)
+
+
+if __name__ == "__main__":
+    uvloop.run(main())
