Directory: doors that come or go within 50 ms are told of in one message

Cause: bench.sizing with 1,000 doors at once was not done after 60 s: each door that came was told to each other one by itself (directory/program.py, welcome and lost), a million messages a directory, and each made a door put its whole list together anew. Change: the first is told of at once, those within 50 ms of it together, the last word on each; one message kind, `doors`.

--- a/bench/sizing.py
+++ b/bench/sizing.py
@@ -25,7 +25,7 @@
 from ivymux.trunk.frames import Message, pack
 from ivymux.trunk.line import Dialler, Line
 
-DOORS = (11, 85, 300)
+DOORS = (11, 85, 300, 1000)
 BACKENDS, BEAT = 155, 1.5
 TENANTS = 84
 SPAN = 6.0  # seconds over which CPU is counted
--- a/ivymux/directory/program.py
+++ b/ivymux/directory/program.py
@@ -28,6 +28,7 @@
 APPLIED_WAIT = 0.3  # of that, the most that is waited for doors to have a configuration in force
 HEARD_WAIT = 0.45  # seconds for which a call waits until the doors have heard
 SWEEP = 0.25
+TOGETHER = 0.05  # seconds: doors that come and go within them are told of in one message
 MOST_BEAT = 16 * 1024  # bytes
 
 PASS = 0.88  # seconds for which a door's call about an action may take here
@@ -71,6 +72,9 @@
         self.text = ""
         self.applied: list[tuple[int, asyncio.Future[None]]] = []  # who waits for all doors, and for what
         self.packed = b""  # the configuration's news, encoded once
+        self.stirred: dict[str, tuple[DoorLine, bool]] = {}  # doors whose coming or going is not told yet
+        self.stirred_at = 0.0
+        self.stirring: asyncio.TimerHandle | None = None
         self.cores: list[str] = [settings.ip]
         self.desk = Desk(self)
         calls = min(settings.sockets - 200 - most_doors, 2000)
@@ -186,10 +190,28 @@
         )  # fmt: skip
         for name, (version, text) in self.notes.items():
             line.send(note(name, version, text))
-        told = pack({"k": "door", "d": [door.id, door.address, door.port, door.zone], "on": True})
-        for other in self.doors.values():
-            if other is not door:
-                other.line.write(told)
+        self.stir(door, True)
+
+    def stir(self, door: DoorLine, on: bool) -> None:
+        """A door has come or gone.  The first is told of at once, those close behind it together: of a fleet
+        that starts at the same moment each door would else get as many messages as there are doors.
+        """
+        self.stirred[door.id] = door, on
+        if self.stirring is None:
+            wait = self.stirred_at + TOGETHER - time.monotonic()
+            if wait <= 0:
+                self.tell_stirred()
+            else:
+                self.stirring = asyncio.get_running_loop().call_later(wait, self.tell_stirred)
+
+    def tell_stirred(self) -> None:
+        self.stirring, self.stirred_at = None, time.monotonic()
+        stirred, self.stirred = self.stirred, {}
+        come = [[d.id, d.address, d.port, d.zone] for d, on in stirred.values() if on]
+        told = pack({"k": "doors", "on": come, "off": [id for id, (_, on) in stirred.items() if not on]})
+        for door in self.doors.values():
+            if len(stirred) > 1 or door.id not in stirred:  # one that comes has just been told of itself
+                door.line.write(told)
 
     def lost(self, line: Line) -> None:
         door = self.doors.pop(line, None)
@@ -201,9 +223,7 @@
         self.release_applied()
         if any(d.id == door.id for d in self.doors.values()):
             return
-        told = pack({"k": "door", "d": [door.id, door.address, door.port, door.zone], "on": False})
-        for other in self.doors.values():
-            other.line.write(told)
+        self.stir(door, False)
 
     def tell_since(self, before: int) -> None:
         """Changes of the register after a number go to all doors, encoded once."""
@@ -351,6 +371,8 @@
         while self.desk.tasks and time.monotonic() < until:
             await asyncio.wait(self.desk.tasks, timeout=0.1)
         self.ending = True
+        if self.stirring is not None:
+            self.stirring.cancel()
         self.server.close()
         self.listener.close()
         self.exchange.close()
--- a/ivymux/switchboard/program.py
+++ b/ivymux/switchboard/program.py
@@ -103,8 +103,8 @@
             line.send({"k": "ack", "n": message["n"]})
             self.have()
             self.want()
-        elif kind == "door":
-            door.roll.door(self.ip, message["d"], message["on"] is True)
+        elif kind == "doors":
+            door.roll.told_doors(self.ip, message["on"], message["off"])
             door.changed()
         elif kind == "cores":
             door.meet(message["l"])
--- a/ivymux/switchboard/roll.py
+++ b/ivymux/switchboard/roll.py
@@ -159,13 +159,13 @@
         changed, self.changed = list(self.changed.values()), {}
         return changed
 
-    def door(self, name: str, door: Any, on: bool) -> None:
-        """A directory's word that a door has come or gone."""
+    def told_doors(self, name: str, come: Any, gone: Any) -> None:
+        """A directory's word on doors that have come, and on the ids of those that have gone."""
         source = self.source(name)
-        if on:
+        for door in come:
             source.doors[str(door[0])] = (str(door[1]), int(door[2]), str(door[3]))
-        else:
-            source.doors.pop(str(door[0]), None)
+        for id in gone:
+            source.doors.pop(str(id), None)
         self.doors_changed = True
 
     def doors(self) -> dict[str, tuple[str, int, str]]:
--- a/tests/directory/test_applied.py
+++ b/tests/directory/test_applied.py
@@ -8,30 +8,28 @@
 from ivymux.directory.program import Directory
 from ivymux.station.settings import load
 from ivymux.testdesk.lab import Lab
+from ivymux.trunk.frames import Frames, Message
 from ivymux.trunk.line import Line
 
 from ..sockets import run, until
 
 
+def met(directory: Directory, number: int) -> Line:
+    """A door's connection, as far as the directory can tell."""
+    line = Line(directory.heard, on_down=directory.lost)
+    line.up = True
+    directory.hear(
+        line,
+        {"k": "door", "id": f"d{number}", "ip": "127.0.0.9", "port": 1, "zone": "hall", "run": "", "n": 0},
+    )
+    return line
+
+
 def test_a_call_waits_until_each_connected_door_has_the_configuration(tmp_path: Path) -> None:
     async def test() -> None:
         lab = Lab(tmp_path)
         directory = Directory(load(lab.settings(lab.cores[0], True)))
-        lines = [Line(directory.heard, on_down=directory.lost) for _ in range(3)]
-        for number, line in enumerate(lines):
-            line.up = True
-            directory.hear(
-                line,
-                {
-                    "k": "door",
-                    "id": f"d{number}",
-                    "ip": "127.0.0.9",
-                    "port": 1,
-                    "zone": "hall",
-                    "run": "",
-                    "n": 0,
-                },
-            )
+        lines = [met(directory, number) for number in range(3)]
 
         async def call(version: int) -> None:
             await directory.all_apply(version, 30.0)
@@ -56,3 +54,37 @@
         await lab.close()
 
     run(test())
+
+
+class Heard(Line):
+    """A connection that keeps what is written to it."""
+
+    told: list[Message]
+
+    def write(self, data: bytes) -> None:
+        self.told.extend(Frames().feed(data))
+
+
+def test_doors_that_come_together_are_told_of_together(tmp_path: Path) -> None:
+    """Of a fleet that starts at once no door gets a message for each other door."""
+
+    async def test() -> None:
+        lab = Lab(tmp_path)
+        directory = Directory(load(lab.settings(lab.cores[0], True)))
+        first = Heard(directory.heard, on_down=directory.lost)
+        first.told = []
+        first.up = True
+        directory.welcome(first, {"id": "d", "ip": "127.0.0.8", "port": 1, "zone": "hall", "run": "", "n": 0})
+        first.told.clear()
+        lines = [met(directory, number) for number in range(40)]
+        lines[7].abort()
+        await until(lambda: not directory.stirred and directory.stirring is None)
+        doors = [message for message in first.told if message["k"] == "doors"]
+        assert len(doors) <= 2
+        there = {f"d{number}" for number in range(40)} - {"d7"}
+        assert {entry[0] for message in doors for entry in message["on"]} - {"d", "d7"} == there
+        assert doors[-1]["off"] == ["d7"]
+        await directory.stop()
+        await lab.close()
+
+    run(test())
--- a/tests/switchboard/test_roll.py
+++ b/tests/switchboard/test_roll.py
@@ -67,7 +67,7 @@
     roll.snapshot("a", "r", 0, True, [], [["d1", "10.0.0.1", 7, "hall"]], 0.0)
     roll.snapshot("b", "r", 0, True, [], [["d1", "10.0.0.1", 7, "hall"], ["d2", "10.0.0.2", 7, "hall"]], 0.0)
     assert set(roll.doors()) == {"d1", "d2"}
-    roll.door("b", ["d2", "10.0.0.2", 7, "hall"], False)
+    roll.told_doors("b", [], ["d2"])
     assert set(roll.doors()) == {"d1"}
     roll.lost("a", 1.0)
     roll.lost("b", 1.0)
