Door: a call may be held at first, lose its answer, or end with its connection

Need: a trial of one caller does these four things at the door; all but the refusal need the data plane. Ruled out: a hold by Call.claim (it runs after a server was chosen, so its time would count as that server's pace and as its load). Change: Call.hold and Call.lose, the answer CUT that is none, Refusals.unserved and the cause `trial`. A held request whose client's time runs out is answered 503, as it has not run.

--- a/ivymux/door/front.py
+++ b/ivymux/door/front.py
@@ -9,6 +9,7 @@
 from orchidhill import interface as i
 
 Headers = list[tuple[bytes, bytes]]
+CUT = 0  # the status of an answer that is none: the connection is closed in its place
 
 
 class BadRequest(ValueError):
@@ -57,6 +58,8 @@
     over: Callable[[], None] | None = None  # hears when it is answered and none of its attempts is out
     to: Callable[[float, int], bytes] | None = None  # in place of `payload`: what goes to one backend
     claim: Claim | None = None
+    hold: float = 0.0  # seconds for which it is held before the module hears of it
+    lose: bool = False  # whether a backend's answer to it is not passed on
 
 
 class Front(Protocol):
--- a/ivymux/door/host.py
+++ b/ivymux/door/host.py
@@ -43,7 +43,7 @@
     may_have_run: bool = False
     last: Result | None = None  # of the attempt that ended last
     settled: bool = False  # answered, or nobody waits any more
-    claiming: bool = False  # nothing is sent before its claim is heard of
+    claiming: bool = False  # nothing is sent before its claim is heard of, or while it is held
     answer: Answer | None = None
 
 
@@ -123,9 +123,21 @@
         self.waiting += 1
         left = call.end - GUARD_MARGIN - time.monotonic()
         request.guard = self.loop.call_later(max(0.0, left), self.overdue, request)
-        self.post(call.make(request.number))
+        if call.hold > 0:
+            request.claiming = True
+            self.loop.call_later(call.hold, self.held, request)
+        else:
+            self.post(call.make(request.number))
         return request
 
+    def held(self, request: Open) -> None:
+        """It was held for as long as it was to be; now the module hears of it, if anybody still waits."""
+        request.claiming = False
+        if request.settled:
+            self.drop(request)
+        else:
+            self.post(request.call.make(request.number))
+
     def left(self, request: Open) -> None:
         """The client has gone away; attempts that are out run on."""
         if not request.settled:
--- a/ivymux/door/refusals.py
+++ b/ivymux/door/refusals.py
@@ -14,7 +14,9 @@
 SPAN = 60.0  # seconds
 DOOR = "door"  # the front door's own limits on bodies, requests and connections
 FAILED = "failed"  # answered as failed: an attempt may have run, and none may follow
-CAUSES = (*(why.value for why in Why), DOOR, FAILED)
+TRIAL = "trial"  # by a trial of its caller (ivymux/intercept)
+UNSERVED = (Why.BACKENDS.value, Why.ROOM.value, FAILED)
+CAUSES = (*(why.value for why in Why), DOOR, FAILED, TRIAL)
 
 
 class Refusals:
@@ -31,6 +33,10 @@
         self.counts[cause] += 1
         return first
 
+    def unserved(self) -> int:
+        """Requests since the start that ended without service for want of workers, not of a quota."""
+        return sum(self.counts[cause] for cause in UNSERVED)
+
     def line(self) -> str:
         """`refused: quota=12 (+3) room=1 (+0)`, causes in a fixed order; empty where there is nothing new."""
         if not self.news:
--- a/ivymux/door/server.py
+++ b/ivymux/door/server.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from ivymux.door.front import Answer, BadRequest, Call, Front
+from ivymux.door.front import CUT, Answer, BadRequest, Call, Front
 from ivymux.door.limits import BACKLOG, Address, Bounds
 from ivymux.door.refusals import DOOR
 from ivymux.door.told import Told
@@ -252,7 +252,7 @@
             if self.transport is None or self.transport.is_closing():
                 continue
             ends = self.server.stopping or self.server.leaving
-            close = not exchange.keep_alive or (ends and not self.pending)
+            close = not exchange.keep_alive or (ends and not self.pending) or answer.status == CUT
             self.transport.write(self.server.front.encode(answer, close, exchange.call))
             if close:
                 self.end()
