Exchange: a note is changed from the version it was made from, and read from the leader

Need: two operators who start trials at once, at two core machines, must not undo one another. Cause: a note of a version that was held already was answered as taken, whatever its text. Ruled out: a lock (a holder may be lost), the machine's clock as version. Change: `was` in a note's call: another version held is told instead, the same note again is acknowledged; the call `read`. Measured: tests/exchange/test_tickets.py, over a leader's loss too; settings of conversations are sent without `was`, as before.

--- a/ivymux/exchange/program.py
+++ b/ivymux/exchange/program.py
@@ -25,7 +25,7 @@
 MOST_QUEUE = 5000  # actions that may wait for the disk
 MOST_CORES = 32  # core machines that are dialled
 MOST_ASKED = 4000  # calls of directories that are under way
-ASKED = frozenset(("put", "claim", "end", "note"))  # calls that who leads answers
+ASKED = frozenset(("put", "claim", "end", "note", "read"))  # calls that who leads answers
 
 log = Log("exchange")
 
--- a/ivymux/exchange/tickets.py
+++ b/ivymux/exchange/tickets.py
@@ -93,7 +93,12 @@
             if kind == "end":
                 return self.end(call, message)
             if kind == "note":
-                return self.note(call, str(message["name"]), int(message["v"]), str(message["t"]))
+                was = int(message["was"]) if "was" in message else None
+                return self.note(call, str(message["name"]), int(message["v"]), str(message["t"]), was)
+            if kind == "read":
+                noted = self.known.get(str(message["name"]))
+                return Told([], {"ok": True, "v": noted.version if noted else -1,
+                                 "t": noted.text if noted else ""})  # fmt: skip
         except (KeyError, TypeError) as error:
             raise TicketError(f"{kind}: {error}") from None
         raise TicketError(f"no such call: {kind!r}")
@@ -125,10 +130,15 @@
         self.jot(ticket, call)
         return Told(self.member.actions, {"ok": True}, wait=True)
 
-    def note(self, call: int, name: str, version: int, text: str) -> Told:
+    def note(self, call: int, name: str, version: int, text: str, was: int | None = None) -> Told:
+        """`was`: the version that the change was made from; where another is held, that is told instead."""
         made = note(name, version, text)
         held = self.book.tickets.get(made.key)
         answer: Message = {"ok": True, "v": version}
+        there = int(held.body) if held is not None else -1
+        again = held is not None and there == version and held.answer == text  # its answer was lost
+        if was is not None and there != was and not again:
+            return Told(self.member.actions, {**answer, "taken": False, "v": there})
         if held is not None and int(held.body) >= version:
             pending = self.pending(made.key)
             if pending is not None:
--- a/tests/exchange/test_tickets.py
+++ b/tests/exchange/test_tickets.py
@@ -177,3 +177,19 @@
     with pytest.raises(Broken):
         for seed in range(150):
             play(seed, make)
+
+
+def test_a_note_that_was_made_from_another_is_not_taken() -> None:
+    """Two operators change the same board at once: the later one hears so, and makes its change anew."""
+    cores = started(3)
+    note = {"k": "note", "name": "trials", "was": -1, "v": 0, "t": "first"}
+    assert asked(cores, note) == {"ok": True, "v": 0}
+    assert asked(cores, {**note, "t": "another first"}) == {"ok": True, "v": 0, "taken": False}
+    assert asked(cores, note) == {"ok": True, "v": 0}  # the same again, as its answer was lost
+    assert asked(cores, {**note, "was": 0, "v": 1, "t": "second"}) == {"ok": True, "v": 1}
+    assert asked(cores, {**note, "was": 0, "v": 1, "t": "another"}) == {"ok": True, "v": 1, "taken": False}
+    read = {"k": "read", "name": "trials"}
+    assert asked(cores, read) == {"ok": True, "v": 1, "t": "second"}
+    cores.kill(pair(cores)[0])
+    assert asked(cores, read) == {"ok": True, "v": 1, "t": "second"}
+    assert asked(cores, {**note, "was": 1, "v": 2, "t": "third"}) == {"ok": True, "v": 2}
