--- /dev/null
+++ b/ivymux/testdesk/trialrun.py
@@ -0,0 +1,219 @@
+"""A model of trials under faults: a core that holds the board, directories and doors that are cut off, start
+anew and hear late; requests at every door all the while.  Pure: one seed, one evening.
+
+What is checked is what callers could see: nobody but the caller of a trial is ever caught, and nobody once
+the trial has ended for longer than the lease, whatever a door has heard.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ivymux.intercept.board import CLOSE, LOSE, REFUSE, Board, Trial, TrialError, digest, due, ended, started
+from ivymux.intercept.catch import LEASE, RENEW, Catch
+
+SECONDS = 30.0
+STEP = 0.1  # seconds between requests at a door
+DIRECTORIES, DOORS = 3, 5
+CALLERS = ("kava", "kava-hearts", "kava hearts", "derwent")  # some begin alike
+SKEW = 0.5  # seconds that a door's system time may be off
+HELD_UP = 6.0  # seconds for which a cut may hold a message up
+MOST_FAR = 0.3  # seconds of an ordinary message
+READ = 0.4
+
+
+@dataclass(frozen=True, slots=True)
+class Caught:
+    at: float
+    door: int
+    trial: Trial
+    tenant: str
+    key: bytes
+    route: str
+
+
+@dataclass(slots=True)
+class Known:
+    """What a directory knows."""
+
+    board: Board = field(default_factory=Board)
+    read_at: float = -1e9
+
+
+@dataclass
+class Run:
+    seed: int
+    caught: list[Caught] = field(default_factory=list)
+    asked: int = 0
+    core: Board = field(default_factory=Board)
+    begun: dict[str, float] = field(default_factory=dict)  # when a trial came on the board
+    gone: dict[str, float] = field(default_factory=dict)  # and when it was off it
+    broken: list[str] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        self.chance = random.Random(self.seed)
+        self.now = 0.0
+        self.order = itertools.count()
+        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.directories = [Known() for _ in range(DIRECTORIES)]
+        self.skew = [self.chance.uniform(-SKEW, SKEW) for _ in range(DOORS)]
+        self.doors = [self.door() for _ in range(DOORS)]
+        self.cut: dict[tuple[str, int], float] = {}  # until when a directory or a door hears nobody
+        self.names = itertools.count()
+
+    def door(self) -> Catch:
+        made = Catch("hall")
+        made.configured(key for _, key in self.keys())
+        return made
+
+    def keys(self) -> list[tuple[str, bytes]]:
+        return [(caller, f"{caller}/{n}".encode()) for caller in CALLERS for n in range(2)]
+
+    # --- time and messages -----------------------------------------------------------------------------
+
+    def later(self, wait: float, what: Callable[[], None]) -> None:
+        heapq.heappush(self.queue, (self.now + wait, next(self.order), what))
+
+    def send(self, place: tuple[str, int], what: Callable[[], None]) -> None:
+        """A message to or from a place: late, held up by a cut, or lost."""
+        far = self.chance.uniform(0.001, MOST_FAR)
+        held = self.cut.get(place, 0.0) - self.now
+        if held > 0:
+            if self.chance.random() < 0.5:
+                return
+            far += min(held, HELD_UP)
+        self.later(far, what)
+
+    def play(self) -> Run:
+        for number in range(DIRECTORIES):
+            self.later(self.chance.uniform(0, READ), lambda n=number: self.reading(n))  # type: ignore[misc]
+        for number in range(DOORS):
+            self.later(self.chance.uniform(0, RENEW), lambda n=number: self.asking(n))  # type: ignore[misc]
+            self.later(self.chance.uniform(0, STEP), lambda n=number: self.request(n))  # type: ignore[misc]
+        for _ in range(8):
+            self.later(self.chance.uniform(0, SECONDS), self.operate)
+        for _ in range(14):
+            self.later(self.chance.uniform(0, SECONDS), self.trouble)
+        while self.queue:
+            self.now, _, what = heapq.heappop(self.queue)
+            if self.now > SECONDS:
+                break
+            what()
+        return self
+
+    # --- the core --------------------------------------------------------------------------------------
+
+    def change(self, board: Board) -> None:
+        for trial in self.core.running:
+            if trial not in board.running:
+                self.gone[trial.name] = self.now
+        for trial in board.running:
+            self.begun.setdefault(trial.name, self.now)
+        self.core = board
+        for number in range(DIRECTORIES):
+            self.send(("directory", number), lambda n=number, b=board: self.told(n, b))  # type: ignore[misc]
+
+    def operate(self) -> None:
+        chance = self.chance
+        if self.core.running and chance.random() < 0.4:
+            self.change(ended(self.core, chance.choice(self.core.running).name, "ann", "enough", self.now))
+            return
+        caller, key = chance.choice(self.keys())
+        trial = Trial(
+            f"t{next(self.names)}", caller, chance.choice((REFUSE, LOSE, CLOSE)), "ann", "to see", self.now,
+            self.now + chance.choice((0.0, 0.0, 2.0)), chance.uniform(1.0, 12.0),
+            digest(key) if chance.random() < 0.4 else "", chance.choice(("", "", "sign")),
+            share=chance.choice((1.0, 0.3)),
+        )  # fmt: skip
+        try:
+            self.change(started(self.core, trial))
+        except TrialError:
+            return
+
+    # --- directories -----------------------------------------------------------------------------------
+
+    def told(self, number: int, board: Board) -> None:
+        """A board that was pushed."""
+        known = self.directories[number]
+        if board.version > known.board.version:
+            known.board = board
+            for door in range(DOORS):
+                self.send(("door", door), lambda d=door, b=board: self.pushed(d, b))  # type: ignore[misc]
+
+    def reading(self, number: int) -> None:
+        self.later(READ, lambda: self.reading(number))
+        known, asked = self.directories[number], self.now
+
+        def answer(board: Board) -> None:
+            self.told(number, board)
+            if board.version >= known.board.version:
+                known.read_at = max(known.read_at, asked)
+            for name in due(board, self.now):
+                if board.version == self.core.version:  # else it is not taken
+                    self.change(ended(self.core, name, "ivymux", "its time is over", self.now))
+
+        self.send(
+            ("directory", number),
+            lambda: self.send(("directory", number), lambda b=self.core: answer(b)),  # type: ignore[misc]
+        )
+
+    # --- doors -----------------------------------------------------------------------------------------
+
+    def pushed(self, number: int, board: Board) -> None:
+        self.doors[number].use(board, self.now, self.now + self.skew[number])
+
+    def asking(self, number: int) -> None:
+        self.later(RENEW, lambda: self.asking(number))
+        door, asked = self.doors[number], self.now
+        for at in range(DIRECTORIES):
+            self.send(("door", number), lambda n=at: self.question(number, door, n, asked))  # type: ignore[misc]
+
+    def question(self, number: int, door: Catch, at: int, asked: float) -> None:
+        known = self.directories[at]
+        if known.read_at < 0:
+            return
+        board, age = known.board, self.now - known.read_at
+
+        def answer() -> None:
+            if self.doors[number] is door:
+                door.use(board, self.now, self.now + self.skew[number])
+                door.renew(board.version, asked, age)
+
+        self.send(("door", number), answer)
+
+    def request(self, number: int) -> None:
+        self.later(STEP, lambda: self.request(number))
+        tenant, key = self.chance.choice(self.keys())
+        route = self.chance.choice(("sign", "read"))
+        name = f"{number}/{self.asked}".encode()
+        self.asked += 1
+        trial = self.doors[number].find(self.now, tenant, key, route, "desk", name)
+        if trial is not None:
+            self.caught.append(Caught(self.now, number, trial, tenant, key, route))
+            self.judge(self.caught[-1])
+
+    def judge(self, seen: Caught) -> None:
+        trial = seen.trial
+        other = (
+            seen.tenant != trial.caller
+            or (trial.key and digest(seen.key) != trial.key)
+            or (trial.route and seen.route != trial.route)
+        )
+        if other:
+            self.broken.append(f"{seen.at:.2f}: another caller was caught by {trial.name}")
+        if seen.at > self.gone.get(trial.name, seen.at) + LEASE:
+            self.broken.append(f"{seen.at:.2f}: {trial.name} ended at {self.gone[trial.name]:.2f}")
+        if not trial.at - SKEW <= seen.at <= trial.until + SKEW + 1e-9:
+            self.broken.append(f"{seen.at:.2f}: {trial.name} runs from {trial.at:.2f} to {trial.until:.2f}")
+
+    def trouble(self) -> None:
+        kind = self.chance.choice(("directory", "door", "anew"))
+        if kind == "anew":
+            self.doors[self.chance.randrange(DOORS)] = self.door()
+            return
+        number = self.chance.randrange(DIRECTORIES if kind == "directory" else DOORS)
+        self.cut[kind, number] = self.now + self.chance.uniform(0.5, 10.0)
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -64,6 +64,7 @@
     "ivymux.station.clock",
     "ivymux.numbering",
     "ivymux.ticket",
+    "ivymux.intercept",
     "ivymux.exchange.epochs",
     "ivymux.exchange.tickets",
     "ivymux.exchange.words",
@@ -80,6 +81,7 @@
     "ivymux.testdesk.day",
     "ivymux.testdesk.quotas",
     "ivymux.testdesk.rules",
+    "ivymux.testdesk.trialrun",
     "orchidhill.switch",
 )
 # Each may import itself and what stands before it; the pure ones are held to more below.
@@ -101,9 +103,11 @@
         "ivymux.trunk",
         "ivymux.numbering",
         "ivymux.ticket",
+        "ivymux.intercept",
     ),
     ("ivymux.exchange", "ivymux.directory", "ivymux.switchboard"),
     ("ivymux.station", "ivymux.testdesk"),
+    ("ivymux.trialdesk",),
     ("ivymux.__main__",),
 )
 
