Trials: operators' calls, doors that ask for the board and tell counts, command line

Need: issue of the named caller: start (with a dry run), end, list, report, watch; the status names each door that has it in force and each that has not; author and reason outlive it. Ruled out: a push alone (a door that hears nothing would go on), a duty's holder for the ends (who ends is ordered by the board's version; any directory may). All but the calls' declarations is loaded with the first trial.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -22,6 +22,10 @@
         from ivymux.testdesk.replay import main as replay
 
         sys.exit(replay(sys.argv[2:]))
+    if len(sys.argv) > 1 and sys.argv[1] == "trial":
+        from ivymux.trialdesk import main as trial
+
+        sys.exit(trial(sys.argv[2:]))
     from ivymux.cli import main
 
     sys.exit(main())
--- a/ivymux/directory/program.py
+++ b/ivymux/directory/program.py
@@ -12,9 +12,11 @@
 import msgspec
 
 from ivymux.directory.register import QUIESCING, CallError, Register
+from ivymux.directory.trialcalls import TrialCalls
 from ivymux.door.front import Answer
 from ivymux.door.limits import Address, Bounds
 from ivymux.door.server import Server
+from ivymux.intercept import TRIALS
 from ivymux.numbering.plan import MOST_TEXT, PlanError
 from ivymux.station.log import Log
 from ivymux.station.settings import Settings
@@ -56,8 +58,9 @@
     waiters: list[tuple[int, asyncio.Future[None]]] = field(default_factory=list)
 
 
-class Directory:
+class Directory(TrialCalls):
     def __init__(self, settings: Settings) -> None:
+        self.longest_trial = settings.longest_trial
         self.settings = settings
         self.run_id = secrets.token_hex(6)  # another run's numbers mean nothing here
         self.steady_unix = time.time() - time.monotonic()
@@ -129,6 +132,8 @@
             self.release_applied()
         elif kind == "want" and self.version >= 0:
             line.write(self.packed)
+        elif kind == "trial":
+            self.trials().heard(line, message, door.id, door.zone)
         elif kind in ("claim", "end"):
             if len(self.passing) >= MOST_PASSING:
                 line.answer(message, ok=False)
@@ -262,6 +267,8 @@
                 data = pack(note(name, version, text))
                 for door in self.doors.values():
                     door.line.write(data)
+                if name == TRIALS:
+                    self.trials().use(text)
         elif kind == "cores":
             cores = [str(c) for c in message["l"]]
             if cores != self.cores:
--- /dev/null
+++ b/ivymux/directory/trialcalls.py
@@ -0,0 +1,40 @@
+"""The operators' calls about trials, declared; what carries them out (trials.py) is loaded with the first."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from ivymux.door.front import Answer
+from ivymux.trunk.desk import Asked, declare
+
+if TYPE_CHECKING:
+    from ivymux.directory.trials import Trials
+
+
+class TrialCalls:
+    longest_trial: float  # seconds
+    intercepts: Trials | None = None
+
+    def trials(self) -> Trials:
+        if self.intercepts is None:
+            from ivymux.directory.trials import Trials
+
+            directory: Any = self
+            self.intercepts = Trials(directory, self.longest_trial)
+        return self.intercepts
+
+    @declare("PUT", "/trials/{}")
+    async def put_trial(self, asked: Asked) -> Answer:
+        return await self.trials().put(asked)
+
+    @declare("DELETE", "/trials/{}")
+    async def end_trial(self, asked: Asked) -> Answer:
+        return await self.trials().end(asked)
+
+    @declare("GET", "/trials")
+    async def list_trials(self, asked: Asked) -> Answer:
+        return await self.trials().list()
+
+    @declare("GET", "/trials/{}")
+    async def get_trial(self, asked: Asked) -> Answer:
+        return await self.trials().get(asked.name)
--- a/ivymux/station/settings.py
+++ b/ivymux/station/settings.py
@@ -64,12 +64,20 @@
     timing_bounds: dict[str, Any] = field(default_factory=dict)
 
 
+@dataclass
+class Trials:
+    """The system's own, beside what the platform writes."""
+
+    longest: str = "600s"
+
+
 @dataclass
 class File:
     self_entity: Self
     network_table: Network
     platform_table: Platform = field(default_factory=Platform)
     terms_table: Terms = field(default_factory=Terms)
+    trials: Trials = field(default_factory=Trials)
 
 
 class Settings:
@@ -99,6 +107,7 @@
         self.quota_window = self.bound(bounds, "quota_window", "5s")
         self.quota_excess = self.figure(bounds, "quota_excess", 0.0)
         self.quota_slack = self.figure(bounds, "quota_slack", 0.0)
+        self.longest_trial = seconds(file.trials.longest, "trials.longest")
 
     def address(self, text: str, where: str) -> Address:
         try:
--- /dev/null
+++ b/ivymux/switchboard/catching.py
@@ -0,0 +1,139 @@
+"""Trials at a door: the core is asked for them again and again, requests are caught, counts are told.
+
+Imported with the first trial that a door hears of: one that hears of none starts without it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from ivymux.door.front import CUT, Answer
+from ivymux.door.host import Host
+from ivymux.door.refusals import TRIAL
+from ivymux.intercept.board import CLOSE, DELAY, LOSE, TrialError, read
+from ivymux.intercept.catch import RENEW, Catch
+from ivymux.station.log import Log
+from ivymux.trunk.line import Dialler, TrunkError
+
+CALL = 0.5  # seconds of one question
+KEPT = 10.0  # seconds of counts from before a trial, which others' failures are held against
+LEFT = 0.5  # of the time that a client has left, what a request is held for at most
+TEXT = b"refused in a trial of this caller; it has not run\n"
+
+log = Log("switchboard")
+
+
+@dataclass(frozen=True, slots=True)
+class Caught:
+    """What becomes of a request: an answer at once, or what its call is marked with."""
+
+    answer: Answer | None = None
+    hold: float = 0.0
+    lose: bool = False
+
+
+FREE = Caught()
+
+
+class Catcher:
+    def __init__(
+        self, zone: str, id: str, host: Host, lines: Callable[[], list[Dialler]],
+        system: Callable[[float], float], kept: Iterable[tuple[float, int, int]],
+    ) -> None:  # fmt: skip
+        """`lines`: to the core; `system`: the system's time at a steady time; `kept`: what `others` gave at
+        times before.
+        """
+        self.catch, self.id, self.host = Catch(zone), id, host
+        self.lines, self.system, self.kept = lines, system, kept
+        self.task: asyncio.Task[None] | None = None
+        self.before = (0, 0)
+        self.spoilt = 0
+
+    def configured(self, keys: Iterable[bytes]) -> None:
+        self.catch.configured(keys)
+
+    def use(self, text: str) -> bool:
+        """A board that the core told of; whether a trial may come to be in force by it."""
+        now = time.monotonic()
+        try:
+            news = self.catch.use(read(text), now, self.system(now))
+        except TrialError as error:
+            log.say(f"{error}; no trial of it is in force here.")
+            return self.busy()
+        if news:
+            names = ", ".join(t.name for t in self.catch.board.running) or "none"
+            log.say(f"board {self.catch.board.version} of trials: {names}.")
+        if self.catch.due(now) and not self.busy():
+            self.task = asyncio.get_running_loop().create_task(self.renew())
+        return self.busy()
+
+    def busy(self) -> bool:
+        return self.task is not None and not self.task.done()
+
+    # --- requests --------------------------------------------------------------------------------------
+
+    def meet(self, tenant: str, key: bytes, route: str, service: str, name: bytes, end: float) -> Caught:
+        """What becomes of a request whose client gives up at `end`, steady time."""
+        now = time.monotonic()
+        trial = self.catch.find(now, tenant, key, route, service, name)
+        if trial is None:
+            return FREE
+        if trial.does == DELAY:
+            self.catch.under += 1
+            return Caught(hold=min(trial.delay, LEFT * max(0.0, end - now)))
+        if trial.does == LOSE:
+            self.catch.under += 1
+            return Caught(lose=True)
+        self.host.told.refused(TRIAL)
+        if trial.does == CLOSE:
+            return Caught(Answer(CUT))
+        return Caught(Answer(trial.status, TEXT, retry_after=trial.after))
+
+    # --- the core --------------------------------------------------------------------------------------
+
+    def others(self) -> tuple[int, int]:
+        """Requests under no trial, and those of them that ended without service for want of servers."""
+        return self.host.number - self.catch.under, self.host.told.refusals.unserved()
+
+    async def renew(self) -> None:
+        """While a trial runs: ask, tell, and take what is answered."""
+        now = time.monotonic()
+        self.before = self.past(now)
+        while self.catch.due(time.monotonic()):
+            asked, failed = self.others()
+            now = time.monotonic()
+            message = {
+                "k": "trial", "v": self.catch.board.version, "c": self.catch.counts(now),
+                "o": [asked, failed, *self.before],
+            }  # fmt: skip
+            calls = [self.ask(line, message) for line in self.lines()]
+            await asyncio.gather(*calls, asyncio.sleep(RENEW))
+        for line in self.lines():  # what it came to
+            line.send({"k": "trial", "v": self.catch.board.version, "c": self.catch.counts(now)})
+
+    def past(self, now: float) -> tuple[int, int]:
+        """Requests and failures of the last KEPT seconds, as they were kept."""
+        asked, failed = self.others()
+        first = next(((a, f) for at, a, f in self.kept if now - at <= KEPT), (asked, failed))
+        return asked - first[0], failed - first[1]
+
+    async def ask(self, line: Dialler, message: dict[str, Any]) -> None:
+        began = time.monotonic()
+        try:
+            told = await line.call(message, CALL)
+            if isinstance(told.get("t"), str) and told["t"]:
+                self.use(told["t"])
+            if told.get("age") is not None:
+                self.catch.renew(int(told["v"]), began, float(told["age"]))
+        except TrunkError:
+            pass
+        except (KeyError, TypeError, ValueError):
+            self.spoilt += 1
+
+    def close(self) -> None:
+        if self.task is not None:
+            self.task.cancel()
--- a/ivymux/switchboard/front.py
+++ b/ivymux/switchboard/front.py
@@ -8,12 +8,13 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
-from ivymux.door.front import Answer, BadRequest, Call, Headers
+from ivymux.door.front import CUT, Answer, BadRequest, Call, Headers
 from ivymux.numbering.plan import Plan
 from ivymux.switchboard.tables import Tables
 from orchidhill import interface as i
 
 if TYPE_CHECKING:
+    from ivymux.switchboard.catching import Catcher
     from ivymux.switchboard.keyed import Keyed
 
 REASONS = {
@@ -33,6 +34,7 @@
 MILLISECONDS = re.compile(rb"(\d{1,9})(?:\.\d{1,6})?")
 NO_TENANT = 0
 NOT_YET = "no configuration yet"
+LOST_TEXT = b"the answer was lost in a trial; the request may have run\n"
 START = 0.5  # seconds in which a door that has just started most likely has one
 
 
@@ -52,6 +54,7 @@
         self.tables, self.instance, self.doors = tables, instance, doors
         self.keys, self.number = keys, number
         self.plan: Plan | None = None
+        self.catcher: Catcher | None = None  # only while a trial may be in force
         self.most_body = 64 << 20
 
     def local(self, target: bytes) -> Answer | None:
@@ -91,10 +94,11 @@
         route = plan.find(host.decode("latin-1").lower().partition(":")[0], path)
         if route is None:
             raise BadRequest("no route", 404)
-        tenant = ""
+        tenant, key = "", b""
         if plan.keyed:
             scheme, _, key = auth.partition(b" ")
-            known = plan.keys.get(key.strip()) if scheme.lower() == b"bearer" else None
+            key = key.strip()
+            known = plan.keys.get(key) if scheme.lower() == b"bearer" else None
             if known is None and not route.open:
                 raise BadRequest("unknown key", 401)
             tenant = known or ""
@@ -108,7 +112,14 @@
         if keyed and tenant and not route.repeatable and self.keys is not None:
             taken = self.keys().take(route, headers, tenant, auth, method, host, target, content, end, name)
             claim, name_of, home = taken.claim, taken.service, self.number(taken.home)
-        service = self.tables.service(name_of or route.service(draw))
+        service_name = name_of or route.service(draw)
+        hold, lose = 0.0, False
+        if self.catcher is not None and tenant:
+            caught = self.catcher.meet(tenant, key, route.name, service_name, name or target, end)
+            if caught.answer is not None:
+                return caught.answer
+            hold, lose = caught.hold, caught.lose
+        service = self.tables.service(service_name)
         head = b"%s %s HTTP/1.1\r\n" % (method, target) + b"".join(
             b"%s: %s\r\n" % pair for pair in headers if pair[0] not in dropped and pair[0] not in OURS
         )
@@ -134,7 +145,9 @@
                 not route.repeatable, service, route.most, home,
             )  # fmt: skip
 
-        return Call(b"", end, make, _no_payload, method == b"HEAD", name, to=to, claim=claim)
+        return Call(
+            b"", end, make, _no_payload, method == b"HEAD", name, to=to, claim=claim, hold=hold, lose=lose
+        )
 
     def refusal(self, error: BadRequest) -> Answer:
         after = START if str(error) == NOT_YET else 0.2
@@ -142,6 +155,10 @@
 
     def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
         status = answer.status
+        if status == CUT:
+            return b""
+        if call is not None and call.lose and answer.headers is not None:
+            answer, status = Answer(502, LOST_TEXT), 502
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, "Answer").encode())]
         if answer.headers is not None:
             parts += [b"%s: %s\r\n" % pair for pair in answer.headers if pair[0] not in ONE_CONNECTION]
--- a/ivymux/switchboard/program.py
+++ b/ivymux/switchboard/program.py
@@ -6,12 +6,14 @@
 import secrets
 import socket
 import time
+from collections import deque
 from typing import TYPE_CHECKING, cast
 
 from ivymux.door.host import Host
 from ivymux.door.limits import Address, Bounds, ConfigError, parse_address
 from ivymux.door.server import Server
 from ivymux.door.upstream import Upstream
+from ivymux.intercept import TRIALS
 from ivymux.numbering.plan import PlanError, plan_of
 from ivymux.station.clock import SystemClock
 from ivymux.station.early import fitting
@@ -33,6 +35,7 @@
 from orchidhill.switch import SILENT, Switch, Terms
 
 if TYPE_CHECKING:
+    from ivymux.switchboard.catching import Catcher
     from ivymux.switchboard.keyed import Keyed
     from orchidhill.gateway import Gateway
 
@@ -45,6 +48,7 @@
 LAME = 2.5  # seconds after SIGTERM in which the platform goes on handing over connections
 HELD_PART = 1 / 4  # of the memory, for answers that are coming in
 LATER = 1.0  # seconds after which that is read at a door that has had no action with a key
+COUNTED = 24  # sweeps
 COLD = 3.0  # seconds that a backend is slow from its start
 
 log = Log("switchboard")
@@ -168,6 +172,9 @@
         self.host.counter = self.counter
         self.keyed: Keyed | None = None
         self.terms = ""  # settings of conversations, as the core told them last
+        self.catcher: Catcher | None = None
+        # Requests and those that ended without service, at each sweep: what trials are held against.
+        self.counted: deque[tuple[float, int, int]] = deque(maxlen=COUNTED)
         self.front = SystemFront(
             self.tables, self.instance, lambda: max(1, len(self.holders.doors)), self.keys, self.number
         )
@@ -221,7 +228,9 @@
         return found.number if found is not None else 0
 
     def note(self, name: str, text: str) -> None:
-        """A note of the core's: settings of the system's own."""
+        """A note of the core's: settings of the system's own, or trials."""
+        if name == TRIALS:
+            self.trials(text)
         if name != CONVERSATIONS:
             return
         self.terms = text
@@ -230,6 +239,18 @@
         else:  # not while the door starts
             self.loop.call_later(LATER, self.keys)
 
+    def trials(self, text: str) -> None:
+        """A board of trials; what it takes is loaded with the first of them."""
+        if self.catcher is None:
+            from ivymux.switchboard.catching import Catcher
+
+            self.catcher = Catcher(
+                self.settings.zone, self.id, self.host, self.lines, self.clock.read, self.counted
+            )
+            if self.front.plan is not None:
+                self.catcher.configured(self.front.plan.keys)
+        self.front.catcher = self.catcher if self.catcher.use(text) else None
+
     # --- the core ----------------------------------------------------------------------------------------
 
     async def start(self) -> None:
@@ -328,6 +349,8 @@
         self.host.post(i.Classes(tuple(self.tables.classes)))
         self.host.post(i.Plans(tuple(self.tables.plans)))
         self.front.use(plan)
+        if self.catcher is not None:
+            self.catcher.configured(plan.keys)
         self.server.most_head = plan.bounds.header_bytes
         self.server.read_time = plan.bounds.header_time
         self.server.idle_time = plan.bounds.idle_time
@@ -343,6 +366,9 @@
             self.changed()
         except RollError:
             pass
+        self.counted.append((time.monotonic(), self.host.number, self.host.told.refusals.unserved()))
+        if self.catcher is not None and not self.catcher.busy():
+            self.front.catcher = None
         if time.monotonic() - self.told_at > TELL and (line := self.host.told.refusals.line()):
             self.told_at = time.monotonic()
             log.say(f"{line}; further tries spared {self.switch.spared}.")
@@ -371,6 +397,8 @@
             await asyncio.sleep(0.02)
         self.host.answer_all()
         self.server.close()
+        if self.catcher is not None:
+            self.catcher.close()
         if self.keyed is not None:
             await self.keyed.claims.finish(0.4)
         await asyncio.sleep(0.1)  # the last answers and what goes back to the holders leave
--- a/ivymux/trunk/desk.py
+++ b/ivymux/trunk/desk.py
@@ -31,7 +31,7 @@
     body: bytes
 
 
-Handler = Callable[[Any, Asked], Awaitable[Answer]]
+Handler = Callable[[Any, Asked], Awaitable[Answer]]  # the first is its owner
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +56,9 @@
 
 
 def declared(owner: object) -> list[Declared]:
-    found = [getattr(part, "declared", None) for part in vars(type(owner)).values()]
+    """The calls of an owner's class and of those that it is made of."""
+    parts = [part for kind in type(owner).__mro__ for part in vars(kind).values()]
+    found = [getattr(part, "declared", None) for part in parts]
     return [d for d in found if isinstance(d, Declared)]
 
 
