Module: each door takes servers it has not asked yet in an order of its own

Servers that were never asked all counted as asked at 0, so ties fell to the order of the list, which is the same at all 85 doors: all of them went to the first server, then all to the second (switch.py, choose, `server.asked`). Beyond 10 s without a request the same tie came back. Change: a server that is new to a door counts as asked up to 40 s before, by a hash of the door's own; the tie goes on for 40 s. The test fails without the change: one server of 64 was the first of 85 doors.

--- a/orchidhill/switch.py
+++ b/orchidhill/switch.py
@@ -38,6 +38,8 @@
 HELD = 0.4  # of what a quota's rule leaves beyond it, what all doors together may hold unspent
 HOME = 3.0  # times the usual pace, and the best server's queue, to which an action stays with its home
 FAR = 1.2  # times its score that a server of another zone has: bytes between zones cost
+TURNS = 40.0  # seconds from which on it counts no more how long ago a server was asked
+TURN = 3e-4  # by how much each of them makes it better
 COLD = 2.0  # times its work that a server takes that has just started
 
 
@@ -168,7 +170,9 @@
             found = self.servers.get(entry.backend)
             if found is None:
                 found = self.servers[entry.backend] = Server(entry, answered=self.now)
-                found.rank = mix(entry.backend, self.settings.me)
+                # Taken to have been asked some time ago, in an order of this door's own: doors that know
+                # nothing yet would else all go to the same server, then all to the next.
+                found.asked = self.now - TURNS * mix(entry.backend, self.own) / 2**64
             found.entry, found.state = entry, entry.state
         for gone in [b for b, s in self.servers.items() if s.state is State.GONE and not s.out]:
             del self.servers[gone]
@@ -269,7 +273,7 @@
                 if score < spare_score:
                     spare, spare_score = server, score
                 continue
-            score *= 1 + 1e-3 * max(-10.0, server.asked - self.now)  # who was asked longest ago first
+            score *= 1 + TURN * max(-TURNS, server.asked - self.now)  # who was asked longest ago first
             if score < best_score:
                 best, best_score = server, score
         if job.req.home and (home := self.at_home(job, usual, best)) is not None:
--- a/tests/switchboard/test_switch.py
+++ b/tests/switchboard/test_switch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 from dataclasses import replace
 
 import pytest
@@ -231,3 +232,18 @@
     assert new[0] < 0.5 and old == [pytest.approx(2.7)]
     floor.now += 10.0  # it is over
     assert refused(floor, 1, left=9.0)[0] < 0.5
+
+
+def test_doors_that_know_nothing_yet_do_not_all_go_to_the_same_server() -> None:
+    """85 doors that started at once, a service of 64 servers with two slots each: nobody was asked before."""
+    first: Counter[int] = Counter()
+    for seed in range(85):
+        floor = Floor(0)
+        floor.switch = Switch(module_settings(), seed, Terms(0.2, 5.0, 0.1, 20.0))
+        floor.do(i.Classes(CLASSES))
+        floor.do(i.Plans((FREE, FEW)))
+        floor.members(*((n, State.READY) for n in range(1, 65)))
+        asked = [sent(floor.ask()[1])[0] for _ in range(64)]
+        assert len(set(asked)) == 64  # each is asked once before any is asked again
+        first[asked[0]] += 1
+    assert len(first) > 40 and max(first.values()) < 8
