Module: a class's latency is guessed by its aim until answers tell

Until then what was silent for 1 s was taken from its server and begun anew (rescue), and servers that were asked looked slow beside those that were not. Ruled out: silence of servers (their answers came after 0.5 to 3 s). Change: the guess is 0.3 of the route's target, 1 s at most; it weighs four answers, so that the first ones move it. The test fails without the change (two give-ups within 3 s).

--- a/orchidhill/switch.py
+++ b/orchidhill/switch.py
@@ -17,7 +17,9 @@
 from orchidhill.state import Backend, Call, Job, Lease
 
 # Tuned values: seconds, requests or plain ratios.
-FIRST_WORK = 0.2  # guess of a class's latency before its first answer
+FIRST_PART = 0.3  # of a class's aim, the guess of its latency before its first answer
+MOST_FIRST = 1.0  # seconds, the most of that guess
+FIRST_SEEN = 4  # answers that the guess weighs
 SMOOTH = 0.1  # weight of the newest latency
 DEPTH = 4.0  # times its slots that a door lets one server hold of its own requests
 BUDGET = 0.6  # part of the operators' ratio of further tries that is used
@@ -70,6 +72,11 @@
     flooded: bool = False
 
 
+def first_usual(cls: i.RequestClass) -> float:
+    """A class's latency as it is taken to be before its first answer, in seconds."""
+    return min(MOST_FIRST, FIRST_PART * cls.aim)
+
+
 @dataclass(frozen=True, slots=True)
 class Terms:
     """What the operators' rules say of further tries and quotas; seconds, requests and plain ratios."""
@@ -89,7 +96,8 @@
         self.own = mix(seed)  # tells this door from others
         self.servers: dict[int, Server] = {}
         self.services: dict[int, Service] = {}
-        self.usual = [FIRST_WORK for _ in settings.classes]
+        self.usual = [first_usual(cls) for cls in settings.classes]
+        self.seen = [FIRST_SEEN] * len(self.usual)  # answers that `usual` rests on, by class
         self.tick_at = -math.inf
         self.scan_at = 0.0
         self.out = 0  # attempts that are out
@@ -129,10 +137,12 @@
     # --- what the configuration and the registry say ----------------------------------------------
 
     def on_classes(self, classes: tuple[i.RequestClass, ...]) -> None:
-        self.usual += [FIRST_WORK] * (len(classes) - len(self.usual))
+        new = classes[len(self.usual) :]
+        self.usual += [first_usual(cls) for cls in new]
+        self.seen += [FIRST_SEEN] * len(new)
         for number, (was, cls) in enumerate(zip(self.settings.classes, classes, strict=False)):
             if cls.name != was.name:
-                self.usual[number] = FIRST_WORK
+                self.usual[number], self.seen[number] = first_usual(cls), FIRST_SEEN
         self.settings = replace(self.settings, classes=classes)
 
     def on_plans(self, plans: tuple[i.Plan, ...]) -> None:
@@ -348,8 +358,10 @@
             return
         if outcome is Outcome.OK and job is not None:
             server.answered, server.fails, server.down_until = self.now, 0, 0.0
-            usual = self.usual[job.req.cls]
-            self.usual[job.req.cls] += SMOOTH / 4 * (min(took, 4 * usual) - usual)
+            cls = job.req.cls
+            usual = self.usual[cls]
+            self.seen[cls] += 1
+            self.usual[cls] += max(SMOOTH / 4, 1 / self.seen[cls]) * (min(took, 4 * usual) - usual)
             server.pace += SMOOTH * (min(4.0, took / usual) - server.pace)
         elif outcome in (Outcome.ERROR, Outcome.FULL):
             server.answered = self.now
--- a/tests/switchboard/test_switch.py
+++ b/tests/switchboard/test_switch.py
@@ -247,3 +247,19 @@
         assert len(set(asked)) == 64  # each is asked once before any is asked again
         first[asked[0]] += 1
     assert len(first) > 40 and max(first.values()) < 8
+
+
+def test_a_kind_of_request_that_takes_long_is_not_taken_for_silence_at_a_start() -> None:
+    """Its aim tells what it may take: nothing is given up and run anew before that is learned."""
+    floor = Floor()
+    floor.do(i.Classes((replace(CLASSES[0], aim=2.0, deadline=12.0), CLASSES[1])))
+    floor.switch.usual, floor.switch.seen = [], []
+    floor.do(i.Classes(floor.switch.settings.classes))
+    number, actions = floor.ask()
+    assert sent(actions)
+    for _ in range(30):  # 3 s, five times what it usually takes
+        floor.now += 0.1
+        assert not [a for a in floor.do(i.Fired(1)) if isinstance(a, i.Cancel)]
+    assert floor.switch.usual[0] == pytest.approx(0.6)
+    floor.ended(number, 0, sent(actions)[0], Outcome.OK)
+    assert floor.switch.usual[0] > 0.6  # a fifth of the way at the first answer
