Backends that fail in good order: what doors meet is told to the core, and by it to all

A failure told nothing against its server (switch.py, observe), and could not have helped: of 85 doors each meets one of 28 backends every 20 s, so each meets a failing one about once. Change: doors tell the core of 500, 502 and of silence (switchboard/doubts.py; not while most goes wrong at the door itself, and not what a full one says); three failures within 2 s that two doors met, a third of a service at the most (directory/grey.py, pure), and all doors leave it alone for 2 s, 4, 8 if it fails again (Shun): it is taken only where there is no other.

--- a/ivymux/directory/program.py
+++ b/ivymux/directory/program.py
@@ -11,7 +11,8 @@
 
 import msgspec
 
-from ivymux.directory.register import QUIESCING, CallError, Register
+from ivymux.directory.grey import Grey
+from ivymux.directory.register import QUIESCING, UP, CallError, Register
 from ivymux.directory.trialcalls import TrialCalls
 from ivymux.door.front import Answer
 from ivymux.door.limits import Address, Bounds
@@ -30,6 +31,7 @@
 APPLIED_WAIT = 0.3  # of that, the most that is waited for doors to have a configuration in force
 HEARD_WAIT = 0.45  # seconds for which a call waits until the doors have heard
 SWEEP = 0.25
+MOST_DOUBT = 10_000  # failures in one message of a door
 TOGETHER = 0.05  # seconds: doors that come and go within them are told of in one message
 MOST_BEAT = 16 * 1024  # bytes
 
@@ -77,6 +79,8 @@
         self.packed = b""  # the configuration's news, encoded once
         self.stirred: dict[str, tuple[DoorLine, bool]] = {}  # doors whose coming or going is not told yet
         self.stirred_at = 0.0
+        self.grey = Grey()
+        self.shunned = 0
         self.stirring: asyncio.TimerHandle | None = None
         self.cores: list[str] = [settings.ip]
         self.desk = Desk(self)
@@ -132,6 +136,9 @@
             self.release_applied()
         elif kind == "want" and self.version >= 0:
             line.write(self.packed)
+        elif kind == "doubt":
+            for id, count in message["l"]:
+                self.doubted(door, str(id), int(count))
         elif kind == "trial":
             self.trials().heard(line, message, door.id, door.zone)
         elif kind in ("claim", "end"):
@@ -230,6 +237,25 @@
             return
         self.stir(door, False)
 
+    def doubted(self, door: DoorLine, id: str, count: int) -> None:
+        """Failures that a door met at a backend.  Raises ValueError for what no door sends."""
+        if not 0 < count < MOST_DOUBT:
+            raise ValueError("a doubt")
+        record = self.register.records.get(id)
+        if record is None or record.state != UP:
+            return
+        peers = [
+            r.id for r in self.register.records.values() if r.service == record.service and r.state == UP
+        ]
+        span = self.grey.hear(door.id, id, count, len(self.doors), peers, time.monotonic())
+        if span:
+            self.shunned += 1
+            if self.shunned in (1, 10, 100, 1000):
+                log.say(f"doors leave backend {id} alone for {span:g} s: it fails ({self.shunned} so far).")
+            told = pack({"k": "shun", "id": id, "for": span})
+            for other in self.doors.values():
+                other.line.write(told)
+
     def tell_since(self, before: int) -> None:
         """Changes of the register after a number go to all doors, encoded once."""
         lines = self.register.since(before, time.monotonic()) or []
--- a/ivymux/switchboard/program.py
+++ b/ivymux/switchboard/program.py
@@ -9,7 +9,6 @@
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
-from ivymux.door.host import Host
 from ivymux.door.limits import Address, Bounds, ConfigError, parse_address
 from ivymux.door.server import Server
 from ivymux.door.upstream import Upstream
@@ -21,6 +20,7 @@
 from ivymux.station.settings import Settings
 from ivymux.switchboard.counter import HeldCounter
 from ivymux.switchboard.counts import Counts
+from ivymux.switchboard.doubts import Doubts, WatchedHost
 from ivymux.switchboard.front import ReadyFront, SystemFront
 from ivymux.switchboard.holders import Holders
 from ivymux.switchboard.module import CONNECT_TIMEOUT, COUNTER_TIMEOUT, module_settings
@@ -49,6 +49,7 @@
 HELD_PART = 1 / 4  # of the memory, for answers that are coming in
 LATER = 1.0  # seconds after which that is read at a door that has had no action with a key
 COUNTED = 24  # sweeps
+MOST_SHUN = 10.0  # seconds for which a door leaves a backend alone by the core's word
 COLD = 3.0  # seconds that a backend is slow from its start
 
 log = Log("switchboard")
@@ -110,6 +111,9 @@
         elif kind == "doors":
             door.roll.told_doors(self.ip, message["on"], message["off"])
             door.changed()
+        elif kind == "shun":
+            if number := door.number(str(message["id"])):
+                door.host.post(i.Shun(number, min(MOST_SHUN, float(message["for"]))))
         elif kind == "cores":
             door.meet(message["l"])
         elif kind == "note":
@@ -165,7 +169,9 @@
         )
         self.switch = Switch(made, secrets.randbits(64), terms)
         # The host needs of a module what both kinds have.
-        self.host = Host(cast("Gateway", self.switch), upstream)
+        self.host = WatchedHost(cast("Gateway", self.switch), upstream)
+        self.doubts = Doubts(lambda: self.host.well, self.id_of, self.tell_core)
+        self.host.doubt = self.doubts.doubt
         self.host.unix = lambda: self.clock.read(time.monotonic())
         counts = Counts(self.holders, secrets.randbits(48) | 1)
         self.counter = HeldCounter(self.id, self.holders, counts, COUNTER_TIMEOUT, self.host.post)
@@ -227,6 +233,14 @@
         found = self.roll.backends.get(backend)
         return found.number if found is not None else 0
 
+    def id_of(self, backend: int) -> str:
+        found = self.roll.by_number.get(backend)
+        return found.id if found is not None else ""
+
+    def tell_core(self, message: Message) -> None:
+        for line in self.lines():
+            line.send(message)
+
     def note(self, name: str, text: str) -> None:
         """A note of the core's: settings of the system's own, or trials."""
         if name == TRIALS:
@@ -366,6 +380,7 @@
             self.changed()
         except RollError:
             pass
+        self.doubts.sample()
         self.counted.append((time.monotonic(), self.host.number, self.host.told.refusals.unserved()))
         if self.catcher is not None and not self.catcher.busy():
             self.front.catcher = None
--- a/orchidhill/interface.py
+++ b/orchidhill/interface.py
@@ -247,6 +247,14 @@
     plans: tuple[Plan, ...]
 
 
+@dataclass(slots=True)
+class Shun:
+    """Several gateways have met failures at a backend: it is left alone for a while, if others are there."""
+
+    backend: int
+    seconds: float
+
+
 @dataclass(slots=True)
 class Doors:
     """How many gateways there are, this one among them."""
@@ -288,7 +296,7 @@
 
 
 News = Members | UnderWay | Finished | Probed | PeerSays | Counted | Late
-Event = News | Request | Left | Fired | Classes | Plans | Doors | Leaving
+Event = News | Request | Left | Fired | Classes | Plans | Doors | Shun | Leaving
 
 
 @dataclass(slots=True)
--- a/orchidhill/switch.py
+++ b/orchidhill/switch.py
@@ -53,6 +53,7 @@
     asked: float = 0.0  # when it was last sent anything
     fails: int = 0  # in a row
     down_until: float = 0.0
+    shunned: bool = False  # until then by the word of several doors
 
 
 @dataclass(slots=True)
@@ -127,6 +128,8 @@
                 self.on_plans(event.plans)
             case i.Doors():
                 self.on_doors(event.count)
+            case i.Shun():
+                self.on_shun(event)
             case i.Late():
                 self.tally.late_at = now
             case i.Leaving():
@@ -194,6 +197,12 @@
             elif server.entry.kind == SILENT and server.state is State.DRAINING:
                 self.service(server.entry.service).silent.append(server)
 
+    def on_shun(self, event: i.Shun) -> None:
+        """What other doors have met at a server; this one, which sees little, heeds it before it meets it."""
+        if (server := self.servers.get(event.backend)) is not None:
+            server.down_until = max(server.down_until, self.now + event.seconds)
+            server.shunned = True
+
     def service(self, number: int) -> Service:
         found = self.services.get(number)
         if found is None:
@@ -357,7 +366,11 @@
         if outcome in (Outcome.CANCELLED, Outcome.MOOT):
             return
         if outcome is Outcome.OK and job is not None:
-            server.answered, server.fails, server.down_until = self.now, 0, 0.0
+            server.answered, server.fails = self.now, 0
+            if (
+                not server.shunned or self.now >= server.down_until
+            ):  # one good answer is no word against several
+                server.down_until, server.shunned = 0.0, False
             cls = job.req.cls
             usual = self.usual[cls]
             self.seen[cls] += 1
@@ -366,11 +379,12 @@
         elif outcome in (Outcome.ERROR, Outcome.FULL):
             server.answered = self.now
             if outcome is Outcome.FULL:
-                server.down_until = self.now + TICK * 2
+                server.down_until = max(server.down_until, self.now + TICK * 2)
         elif outcome in (Outcome.CONNECT_FAILED, Outcome.RESET):
             server.fails += 1
             if outcome is Outcome.CONNECT_FAILED or server.fails > 2:
-                server.down_until = self.now + min(MOST_DOWN, DOWN * 2 ** min(4, server.fails - 1))
+                down = min(MOST_DOWN, DOWN * 2 ** min(4, server.fails - 1))
+                server.down_until = max(server.down_until, self.now + down)
 
     def further(self, job: Job, outcome: Outcome) -> None:
         """No attempt is out and none served: another server where that is allowed, else the end."""
--- a/tests/switchboard/test_switch.py
+++ b/tests/switchboard/test_switch.py
@@ -263,3 +263,18 @@
     assert floor.switch.usual[0] == pytest.approx(0.6)
     floor.ended(number, 0, sent(actions)[0], Outcome.OK)
     assert floor.switch.usual[0] > 0.6  # a fifth of the way at the first answer
+
+
+def test_a_server_that_other_doors_found_failing_is_left_alone_while_there_are_others() -> None:
+    floor = Floor(2)
+    floor.do(i.Shun(1, 2.0))
+    for _ in range(3):
+        assert sent(floor.ask()[1]) == [2]
+    floor.members((2, State.GONE))
+    number, actions = floor.ask()
+    assert sent(actions) == [1]  # better than none
+    floor.ended(number, 0, 1, Outcome.OK)
+    floor.members((3, State.READY))
+    assert sent(floor.ask()[1]) == [3]  # one good answer is no word against several doors
+    floor.now += 2.0
+    assert 1 in sent(floor.ask()[1]) + sent(floor.ask()[1])
