--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -81,6 +81,7 @@
     "ivymux.testdesk.day",
     "ivymux.testdesk.quotas",
     "ivymux.testdesk.rules",
+    "ivymux.testdesk.servers",
     "ivymux.testdesk.trialrun",
     "orchidhill.switch",
 )
