--- a/bench/servers.py
+++ b/bench/servers.py
@@ -2,7 +2,7 @@
 
     python -m bench.servers [--quick] [--json FILE|-]
 
-A model (ivymux/testdesk/servers.py): all doors' decisions, servers of differing speed; no clock, no socket, so
+A model (ivymux/testdesk/servers.py): all doors' decisions, servers of differing speed; no clock or socket, so
 a run has the same figures on every machine.  Each is played as it is, with doors that all begin with the same
 server, and with failures that doors keep to themselves.
 """
