Tests: what schemathesis draws no longer follows from which tests a process had before

With a fixed seed and derandomize the draws still differ: hypothesis mixes in constants of all local modules that are loaded (providers.py, _get_local_constants), and with xdist that follows from the tests a worker has had. Ruled out: the API (its answers conform), timing. Change: in this test's module there are no local constants, and their cache is an own one. What is asserted is as it was.

--- a/tests/admin/test_schemathesis.py
+++ b/tests/admin/test_schemathesis.py
@@ -14,6 +14,9 @@
 import schemathesis
 import uvicorn
 from hypothesis import HealthCheck, Phase, seed, settings
+from hypothesis.internal.cache import LRUCache
+from hypothesis.internal.conjecture import providers
+from hypothesis.internal.constants_ast import Constants
 
 from ivymux.admin import rules
 from ivymux.admin.app import application
@@ -27,7 +30,18 @@
 
 
 @pytest.fixture(scope="module")
-def api(tmp_path_factory: pytest.TempPathFactory) -> Iterator[tuple[str, str]]:
+def drawn_alike() -> Iterator[None]:
+    """Draws that are the same whatever else was loaded: hypothesis mixes in constants of all modules that are
+    there, which follow from the tests that this process has had before.
+    """
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(providers, "_get_local_constants", Constants)
+        patch.setattr(providers, "CONSTANTS_CACHE", LRUCache(1024))
+        yield
+
+
+@pytest.fixture(scope="module")
+def api(drawn_alike: None, tmp_path_factory: pytest.TempPathFactory) -> Iterator[tuple[str, str]]:
     """A served API with one tenant `a`; its address and an operator's key."""
     before = rules.RATE, rules.BURST
     rules.RATE = rules.BURST = 1e6
