Models and pages: one clock and one page writer in place of copies

Left as they are: the two readers of checked.py (two documents), four lines of bench.explore and bench.epochs that read alike. Change: ivymux/testdesk/clocked.py and bench.common.html; no daemon is touched, nothing that is asserted changes.

--- a/bench/common.py
+++ b/bench/common.py
@@ -4,6 +4,8 @@
 
 import argparse
 import asyncio
+import base64
+import io
 import json
 import os
 import platform
@@ -11,7 +13,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Any, cast
 
 import httptools
@@ -130,6 +132,18 @@
             "most": round(max(values), 3), "runs": len(values)}  # fmt: skip
 
 
+def html(title: str, plot: Any, found: Mapping[str, Any]) -> str:
+    """A page with figures by name, and a plot of matplotlib's."""
+    data = io.BytesIO()
+    plot.savefig(data, format="png", dpi=80)
+    rows = "".join(f"<tr><td>{name}</td><td>{value}</td></tr>" for name, value in found.items())
+    image = base64.b64encode(data.getvalue()).decode()
+    return (
+        f"<!doctype html><meta charset=utf-8><title>{title}</title><h1>{title}</h1>"
+        f'<table>{rows}</table><img src="data:image/png;base64,{image}" alt="plots">'
+    )
+
+
 def arguments(area: str) -> argparse.Namespace:
     return parser(area).parse_args()
 
--- a/bench/evening.py
+++ b/bench/evening.py
@@ -9,13 +9,11 @@
 from __future__ import annotations
 
 import asyncio
-import base64
-import io
 import tempfile
 from pathlib import Path
 from typing import Any
 
-from bench.common import figure, parser, report
+from bench.common import figure, html, parser, report
 from ivymux.testdesk.evening import Evening, Play, Size
 from ivymux.testdesk.lab import lab
 
@@ -57,14 +55,7 @@
     axes[2].boxplot(spent, tick_labels=partners, whis=(1, 99), showfliers=False)
     axes[2].set(title="ms to an answer, each partner (1, 25, 50, 75, 99 of 100)", yscale="log")
     figure_.tight_layout()
-    data = io.BytesIO()
-    figure_.savefig(data, format="png", dpi=90)
-    rows = "".join(f"<tr><td>{name}</td><td>{value}</td></tr>" for name, value in found.items())
-    image = base64.b64encode(data.getvalue()).decode()
-    return (
-        "<!doctype html><meta charset=utf-8><title>A busy evening</title><h1>A busy evening</h1>"
-        f'<table>{rows}</table><img src="data:image/png;base64,{image}" alt="plots">'
-    )
+    return html("A busy evening", figure_, found)
 
 
 def main() -> None:
--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -11,7 +11,8 @@
 from typing import Any
 
 from bench.common import figure, parser, report
-from ivymux.testdesk.quotas import START, Doors, Tenant, plan
+from ivymux.testdesk.clocked import START
+from ivymux.testdesk.quotas import Doors, Tenant, plan
 
 DOORS = (11, 85, 300, 1000)
 SECONDS = 15.0
--- a/bench/servers.py
+++ b/bench/servers.py
@@ -12,7 +12,8 @@
 from typing import Any
 
 from bench.common import figure, parser, report
-from ivymux.testdesk.servers import START, Floor, Kind
+from ivymux.testdesk.clocked import START
+from ivymux.testdesk.servers import Floor, Kind
 from orchidhill import switch
 
 DOORS = (11, 85, 300, 1000)
--- a/bench/trials.py
+++ b/bench/trials.py
@@ -11,9 +11,7 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import contextlib
-import io
 import json
 import math
 import random
@@ -29,7 +27,7 @@
 import httptools
 import uvloop
 
-from bench.common import figure, parser, quantile, report
+from bench.common import figure, html, parser, quantile, report
 from ivymux.intercept.catch import LEASE
 from ivymux.testdesk.lab import Lab, lab
 
@@ -397,14 +395,7 @@
         "share failed by door and second: the caller red, others blue; grey: doors, dark: leader"
     )
     plot.tight_layout()
-    data = io.BytesIO()
-    plot.savefig(data, format="png", dpi=80)
-    rows = "".join(f"<tr><td>{name}</td><td>{value}</td></tr>" for name, value in found.items())
-    image = base64.b64encode(data.getvalue()).decode()
-    return (
-        "<!doctype html><meta charset=utf-8><title>Trials</title><h1>Trials of one caller</h1>"
-        f'<table>{rows}</table><img src="data:image/png;base64,{image}" alt="plots">'
-    )
+    return html("Trials of one caller", plot, found)
 
 
 async def main() -> None:
--- a/ivymux/testdesk/explore.py
+++ b/ivymux/testdesk/explore.py
@@ -13,8 +13,9 @@
 
 from ivymux.directory import grey
 from ivymux.exchange.epochs import Member
+from ivymux.testdesk.clocked import START
 from ivymux.testdesk.cores import Broken
-from ivymux.testdesk.quotas import START, Doors, Tenant, plan
+from ivymux.testdesk.quotas import Doors, Tenant, plan
 from ivymux.testdesk.schedules import FAULTS, Fault, Make, two_changes
 from ivymux.testdesk.trialrun import Happening, Run, drawn
 
--- a/ivymux/testdesk/quotas.py
+++ b/ivymux/testdesk/quotas.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
 from collections import Counter, deque
@@ -17,11 +16,11 @@
 from ivymux.switchboard.counts import Counts
 from ivymux.switchboard.holders import Holders
 from ivymux.switchboard.module import module_settings
+from ivymux.testdesk.clocked import START, Clocked
 from orchidhill import interface as i
 from orchidhill.switch import Switch, Terms
 
 TERMS = Terms(retry_ratio=0.2, quota_window=5.0, quota_excess=0.1, quota_slack=20.0)
-START = 1_000_000.0  # system time at which a run begins
 ROUND_TRIP = 0.004  # of a call to the counter
 WORK = 0.1  # of a request at its server
 CLASSES = tuple(
@@ -62,13 +61,11 @@
         return whole * (1 + terms.quota_excess) + terms.quota_slack
 
 
-class Doors:
+class Doors(Clocked):
     def __init__(self, count: int, tenants: list[Tenant], seed: int, tries: int = 3) -> None:
+        super().__init__()
         self.random = random.Random(seed)
         self.tenants, self.tries = tenants, tries
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
-        self.order = itertools.count()
-        self.now = START
         self.counts = Counts(Holders("one", START, first=True), 1)
         self.number = itertools.count(1)
         self.calls: Counter[int] = Counter()
@@ -91,18 +88,6 @@
             made.handle(self.now, event)
         return made
 
-    # --- the clock -----------------------------------------------------------------------------------
-
-    def at(self, when: float, what: Callable[[], None]) -> None:
-        heapq.heappush(self.events, (when, next(self.order), what))
-
-    def run(self, seconds: float) -> None:
-        until = START + seconds
-        while self.events and self.events[0][0] <= until:
-            self.now, _, what = heapq.heappop(self.events)
-            what()
-        self.now = until
-
     # --- what happens -----------------------------------------------------------------------------------
 
     def next(self, tenant: Tenant) -> None:
--- a/ivymux/testdesk/servers.py
+++ b/ivymux/testdesk/servers.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
 import random
 from collections import deque
@@ -17,12 +16,12 @@
 from ivymux.directory.grey import Grey
 from ivymux.switchboard.doubts import doubtful
 from ivymux.switchboard.module import module_settings
+from ivymux.testdesk.clocked import START, Clocked
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
 from orchidhill.switch import Switch, Terms
 
 TERMS = Terms(retry_ratio=0.2, quota_window=5.0, quota_excess=0.1, quota_slack=20.0)
-START = 1_000_000.0
 HOP = 0.001  # one way between a door and a server
 TOLD = 0.035  # from a failure at a door to all doors' knowing, where several met it
 SLOTS, QUEUE = 2, 6
@@ -62,12 +61,11 @@
     server: int = 0
 
 
-class Floor:
+class Floor(Clocked):
     def __init__(self, doors: int, kinds: list[Kind], seed: int, shared: bool = True) -> None:
+        super().__init__()
         self.random, self.kinds, self.shared = random.Random(seed), kinds, shared
-        self.now = START
-        self.events: list[tuple[float, int, Callable[[], None]]] = []
-        self.order, self.number = itertools.count(), itertools.count(1)
+        self.number = itertools.count(1)
         self.machines = [
             Machine(n, self.random.lognormvariate(0.0, 0.25))
             for n, kind in enumerate(kinds)
@@ -102,18 +100,6 @@
             made.handle(self.now, event)
         return made
 
-    # --- the clock -----------------------------------------------------------------------------------
-
-    def at(self, when: float, what: Callable[[], None]) -> None:
-        heapq.heappush(self.events, (when, next(self.order), what))
-
-    def run(self, seconds: float) -> None:
-        until = START + seconds
-        while self.events and self.events[0][0] <= until:
-            self.now, _, what = heapq.heappop(self.events)
-            what()
-        self.now = until
-
     # --- doors ---------------------------------------------------------------------------------------
 
     def next(self, kind: int) -> None:
--- a/tests/switchboard/test_counts.py
+++ b/tests/switchboard/test_counts.py
@@ -9,7 +9,8 @@
 from ivymux.switchboard.counts import Counts
 from ivymux.switchboard.holders import Holders
 from ivymux.switchboard.tables import customer
-from ivymux.testdesk.quotas import START, Doors, Tenant, plan
+from ivymux.testdesk.clocked import START
+from ivymux.testdesk.quotas import Doors, Tenant, plan
 from orchidhill.interface import Count
 
 
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -76,6 +76,7 @@
     "ivymux.switchboard.module",
     "ivymux.switchboard.tables",
     "ivymux.switchboard.style",
+    "ivymux.testdesk.clocked",
     "ivymux.testdesk.cores",
     "ivymux.testdesk.schedules",
     "ivymux.testdesk.day",
--- a/tests/testdesk/test_servers.py
+++ b/tests/testdesk/test_servers.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from ivymux.testdesk.servers import START, Floor, Kind
+from ivymux.testdesk.clocked import START
+from ivymux.testdesk.servers import Floor, Kind
 
 DOORS = 85
 
