Tests: two bounds on an answer's time make up for a machine that stood still

Change: a thread notes stretches in which the process was given no time (held up, and no CPU used); they are taken off. A loop that computes uses CPU, one that blocks lets the thread run on: neither is made up for, the bounds are as before. The test writes its spoilt file beside the loop. test_frontdoor's bound of 50 ms, too.

--- a/tests/service/test_storm.py
+++ b/tests/service/test_storm.py
@@ -15,6 +15,7 @@
 from ivymux.door.front import Call
 from orchidhill.interface import Effect
 from standins.worker import Reply, Seen, troubled
+from tests.pauses import Pauses
 from tests.routes.describing import compiled, described, operation
 
 from .doors import Caller, Place, request, standing
@@ -47,7 +48,7 @@
         self.not_started: Counter[str] = Counter()
         self.answers: Counter[str] = Counter()
         self.statuses: Counter[int] = Counter()
-        self.late: list[float] = []
+        self.asked: list[tuple[float, float]] = []  # when each was asked and answered, monotonic seconds
         self.swaps = self.spoilt = 0
 
     def plan(self, seed: int) -> Any:
@@ -86,7 +87,8 @@
     async def spoil(self, place: Place) -> None:
         """Files that can't be served, compiled beside as a change of the file is."""
         while True:
-            place.describe(b'{"openapi": "3.0.3", "paths": {"/cut')
+            # Beside: a slow disk is no reason for a late answer.
+            await asyncio.to_thread(place.describe, b'{"openapi": "3.0.3", "paths": {"/cut')
             assert not await place.door.reload_description()
             self.spoilt += 1
             await asyncio.sleep(0.5)
@@ -112,7 +114,7 @@
             body = b"b" * self.rng.randrange(300) if line[0] == "P" else b""
             began = time.monotonic()
             got = await caller.ask(line, body, **headers)
-            self.late.append(time.monotonic() - began)
+            self.asked.append((began, time.monotonic()))
             self.answers[name] += 1
             self.statuses[got.status] += 1
             if got.header("connection") == "close":
@@ -130,7 +132,7 @@
 ) -> None:
     storm = Storm(seed=10)
 
-    async def test() -> None:
+    async def test(pauses: Pauses) -> None:
         plans = [storm.plan(n) for n in range(4)]
         site = {"description": "watch = 0", "limits": "sockets = 2048\nattempts = 4"}
         async with asyncio.timeout(120), standing(tmp_path, plans, generation(0), **site) as place:
@@ -145,17 +147,18 @@
             assert storm.swaps > (time.monotonic() - began) * 10 / 2 and storm.spoilt
             while place.door.host.table:  # attempts whose clients were answered run out
                 await asyncio.sleep(0.01)
-            check(storm, place)
+            check(storm, place, pauses)
 
-    uvloop.run(test())
+    with Pauses() as pauses:
+        uvloop.run(test(pauses))
     assert not [r for r in caplog.records if r.exc_info]  # the module took every event
 
 
-def check(storm: Storm, place: Place) -> None:
+def check(storm: Storm, place: Place, pauses: Pauses) -> None:
     fleet, door = place.fleet, place.door
     assert len(storm.answers) == REQUESTS and set(storm.answers.values()) == {1}
     assert set(storm.statuses) <= {200, 500, 502, 503, 504}
-    assert max(storm.late) < DEADLINE + 0.5
+    assert max(end - began - pauses.within(began, end) for began, end in storm.asked) < DEADLINE + 0.5
     assert storm.statuses[200] > 0.7 * REQUESTS
     assert door.host.gateway.settings.classes == tuple(door.classes.listed)
     repeated = 0
--- a/tests/test_frontdoor.py
+++ b/tests/test_frontdoor.py
@@ -17,6 +17,7 @@
 from orchidhill.admission import WINDOW, mix
 from orchidhill.interface import Outcome
 
+from .pauses import Pauses
 from .sockets import (
     FIRST,
     Backend,
@@ -605,7 +606,7 @@
 
 @pytest.mark.alone
 def test_a_request_is_answered_in_time_whatever_the_module_does() -> None:
-    async def test() -> None:
+    async def test(pauses: Pauses) -> None:
         def react(event: Any) -> list[i.Action]:
             return [i.Send(event.request, FIRST, 0.0)] if isinstance(event, i.Request) else []
 
@@ -617,12 +618,15 @@
         ):
             began = time.monotonic()
             assert (await client.ask(2, 300)).status == 504
-            assert time.monotonic() - began < 0.35  # its deadline, and the 50 ms that the rule allows beyond
+            ended = time.monotonic()
+            took = ended - began - pauses.within(began, ended)
+            assert took < 0.35  # its deadline, and the 50 ms that the rule allows beyond
             # The attempt was given up before the deadline, and nothing is left behind.
             assert script.outcomes() == [Outcome.TIMEOUT] and len(script.of(i.Left)) == 1
             assert not door.host.table and door.host.waiting == 0
 
-    run(test())
+    with Pauses() as pauses:
+        run(test(pauses))
 
 
 def test_an_error_in_the_module_loses_no_request(caplog: pytest.LogCaptureFixture) -> None:
