Switchboard: a door that comes holds no window of a quota that had begun before it

The holder of a name is named by the doors there are; one that comes back took names over in the middle of their windows, and began them as if their stores were spent, while who had held them until then was there and knew them. And a door that was promoted to the six that hold took a sixth of the others' names along. Ruled out: handing counts over from the former holder to the new one (two words that must come before the first call, and both may be cut off again meanwhile). Change: doors are told since when each of them is in touch with the core; windows are held only by doors that were there when they began. A door is dialled as it is first asked.

--- a/ivymux/directory/program.py
+++ b/ivymux/directory/program.py
@@ -55,10 +55,15 @@
     address: str
     port: int
     zone: str
+    came: float  # since when it is in touch with some core machine, steady seconds
     acked: int = 0  # the last change that it has acknowledged
     has: int = -1  # the version of the configuration that it has
     waiters: list[tuple[int, asyncio.Future[None]]] = field(default_factory=list)
 
+    def told(self, now: float) -> list[Any]:
+        """As doors hear of it: its place, and for how many seconds it has been there."""
+        return [self.id, self.address, self.port, self.zone, round(now - self.came, 3)]
+
 
 class Directory(TrialCalls):
     def __init__(self, settings: Settings) -> None:
@@ -185,17 +190,18 @@
 
     def welcome(self, line: Line, message: Message) -> None:
         """A door that comes: what it lacks, and the others are told of it."""
-        door = DoorLine(
-            line, str(message["id"]), str(message["ip"]), int(message["port"]), str(message["zone"])
-        )
         now = time.monotonic()
+        door = DoorLine(
+            line, str(message["id"]), str(message["ip"]), int(message["port"]), str(message["zone"]),
+            now - max(0.0, float(message.get("age", 0.0))),
+        )  # fmt: skip
         news = self.register.since(int(message["n"]), now) if message["run"] == self.run_id else None
         self.doors[line] = door
         line.send(
             {
                 "k": "here", "run": self.run_id, "n": self.register.number, "whole": news is None,
                 "i": self.register.whole(now) if news is None else news,
-                "doors": [[d.id, d.address, d.port, d.zone] for d in self.doors.values()],
+                "doors": [d.told(now) for d in self.doors.values()],
                 "cores": self.cores, "t": self.steady_unix + now, "v": self.version,
                 "zone": self.settings.zone,
             }
@@ -219,7 +225,7 @@
     def tell_stirred(self) -> None:
         self.stirring, self.stirred_at = None, time.monotonic()
         stirred, self.stirred = self.stirred, {}
-        come = [[d.id, d.address, d.port, d.zone] for d, on in stirred.values() if on]
+        come = [d.told(self.stirred_at) for d, on in stirred.values() if on]
         told = pack({"k": "doors", "on": come, "off": [id for id, (_, on) in stirred.items() if not on]})
         for door in self.doors.values():
             if len(stirred) > 1 or door.id not in stirred:  # one that comes has just been told of itself
--- a/ivymux/switchboard/counter.py
+++ b/ivymux/switchboard/counter.py
@@ -57,6 +57,7 @@
         self.timeout, self.post = timeout, post
         self.loop = asyncio.get_running_loop()
         self.lines: dict[str, Dialler] = {}
+        self.places: dict[str, Address] = {}  # of the doors there are
         self.born: dict[Address, int] = {}  # the incarnation of the counts behind each, as last told
         self.queues: dict[int, deque[Pending]] = {}
         self.out: dict[int, Pending] = {}  # calls that were written, by number
@@ -66,18 +67,24 @@
         self.expiring: deque[tuple[float, Pending]] = deque()
         self.timer: asyncio.TimerHandle | None = None
 
-    def place(self, doors: dict[str, tuple[str, int, str]]) -> None:
-        """The doors that may hold counts, and where they are."""
-        wanted = {d: doors[d] for d in self.holders.chosen if d != self.me and d in doors}
-        for door in [d for d in self.lines if d not in wanted]:
+    def place(self, places: dict[str, Address], now: float) -> None:
+        """The doors, and where they are: who holds what begins now is dialled, others as they are asked."""
+        self.places = places
+        may = self.holders.may_hold(now)
+        for door in [d for d in self.lines if d not in may or d not in places]:
             gone = self.lines.pop(door)
             gone.close()
             self.born.pop(gone.address, None)
-        for door, (address, port, _) in wanted.items():
-            if door not in self.lines:
-                self.lines[door] = Dialler(Address(address, port), self.heard, self.came_up, self.down)
+        for door in self.holders.near():
+            self.line(door)
         self.flush()
 
+    def line(self, door: str | None) -> Dialler | None:
+        found = self.lines.get(door) if door is not None else None
+        if found is None and door is not None and door != self.me and door in self.places:
+            found = self.lines[door] = Dialler(self.places[door], self.heard, self.came_up, self.down)
+        return found
+
     def came_up(self, line: Line) -> None:
         self.loop.call_soon(self.flush)
 
@@ -106,7 +113,7 @@
     def send(self, pending: Pending) -> bool:
         """Make a call; False where its holder is not known or not connected yet, and may soon be."""
         count, now = pending.count, time.monotonic()
-        holder = self.holders.holder(count.name)
+        holder = self.holders.holder(count.name, pending.began - count.since)
         if holder == self.me:
             try:
                 total = self.counts.add(count, self.me, now)
@@ -115,7 +122,7 @@
                 told = Counted(count.name, Outcome.FULL, 0.0, 0.0)
             self.settle(pending, told)
             return True
-        line = self.lines.get(holder) if holder is not None else None
+        line = self.line(holder)
         if (
             (line is None or not line.up)
             and (line is None or line.tried < 1)
@@ -211,13 +218,14 @@
             return
         answer: dict[str, Any] = {"k": "sum", "c": message["c"], "t": None, "b": 0}
         name, amount, life, call, drained, since, floor, seed, *known = message["a"]
-        if self.holders.holder(int(name)) == self.me:
+        now = time.monotonic()
+        if self.holders.holder(int(name), now - plain(since)) == self.me:
             count = Count(
                 int(name), plain(amount), plain(life), int(call), plain(drained), plain(since), plain(floor),
                 plain(seed), plain(known[0]) if known else 0.0, int(known[1]) if known else 0,
             )  # fmt: skip
             with contextlib.suppress(TallyFull):
-                answer["t"] = self.counts.add(count, str(message["by"]), time.monotonic())
+                answer["t"] = self.counts.add(count, str(message["by"]), now)
                 answer["b"] = self.counts.incarnation
         line.send(answer)
 
--- a/ivymux/switchboard/program.py
+++ b/ivymux/switchboard/program.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import secrets
 import socket
 import time
@@ -24,7 +25,7 @@
 from ivymux.switchboard.front import ReadyFront, SystemFront
 from ivymux.switchboard.holders import Holders
 from ivymux.switchboard.module import CONNECT_TIMEOUT, COUNTER_TIMEOUT, module_settings
-from ivymux.switchboard.roll import LOST, OFF, UP, Backend, Roll, RollError
+from ivymux.switchboard.roll import LOST, OFF, UP, Backend, DoorPlace, Roll, RollError
 from ivymux.switchboard.style import style
 from ivymux.switchboard.tables import Tables
 from ivymux.ticket import CONVERSATIONS
@@ -70,7 +71,7 @@
         settings = self.door.settings
         line.send(
             {"k": "door", "id": self.door.id, "ip": settings.ip, "port": settings.door_port,
-             "zone": settings.zone, "run": source.run, "n": source.number}
+             "zone": settings.zone, "run": source.run, "n": source.number, "age": self.door.age()}
         )  # fmt: skip
 
     def down(self, line: Line) -> None:
@@ -109,7 +110,7 @@
             self.have()
             self.want()
         elif kind == "doors":
-            door.roll.told_doors(self.ip, message["on"], message["off"])
+            door.roll.told_doors(self.ip, message["on"], message["off"], now)
             door.changed()
         elif kind == "shun":
             if number := door.number(str(message["id"])):
@@ -182,7 +183,7 @@
         # Requests and those that ended without service, at each sweep: what trials are held against.
         self.counted: deque[tuple[float, int, int]] = deque(maxlen=COUNTED)
         self.front = SystemFront(
-            self.tables, self.instance, lambda: max(1, len(self.holders.doors)), self.keys, self.number
+            self.tables, self.instance, lambda: max(1, len(self.holders.came)), self.keys, self.number
         )
         self.server = Server(self.front, settings.listen["front_addr"], bounds, self.host)
         front = settings.listen["front_addr"]
@@ -200,7 +201,8 @@
         self.sweeper: asyncio.TimerHandle | None = None
         self.listing = 0
         self.touch = False
-        self.known_doors: dict[str, tuple[str, int, str]] = {}  # as last heard of, in touch
+        self.touched_at = math.inf  # since when it is in touch with the core
+        self.known_doors: dict[str, DoorPlace] = {}  # as last heard of, in touch
         self.told_at = self.claims_told_at = 0.0
         self.taking: asyncio.Task[None] | None = None
 
@@ -237,6 +239,10 @@
         found = self.roll.by_number.get(backend)
         return found.id if found is not None else ""
 
+    def age(self) -> float:
+        """Seconds for which this door is in touch with the core: who is not may have been replaced."""
+        return max(0.0, time.monotonic() - self.touched_at)
+
     def tell_core(self, message: Message) -> None:
         for line in self.lines():
             line.send(message)
@@ -307,12 +313,13 @@
                 doors = {d: self.known_doors[d] for d in self.known_doors if d != self.id}
             else:
                 self.known_doors = doors
-            self.holders.set(set(doors), now)
-            self.counter.place(doors)
+            self.holders.use({id: door.came for id, door in doors.items()}, now)
+            self.counter.place({id: Address(d.address, d.port) for id, d in doors.items()}, now)
             if doors:
                 self.host.post(i.Doors(len(set(doors) | {self.id})))
         if self.roll.in_touch() != self.touch:
             self.touch = not self.touch
+            self.touched_at = now if self.touch else math.inf
             log.say(
                 "hears the core." if self.touch else "hears no core machine; serves on with what it knows."
             )
--- a/ivymux/switchboard/roll.py
+++ b/ivymux/switchboard/roll.py
@@ -35,13 +35,28 @@
     sources: dict[str, tuple[int, str]] = field(default_factory=dict)  # seq and state by directory
 
 
+@dataclass(frozen=True, slots=True)
+class DoorPlace:
+    """A door, as a directory tells of it."""
+
+    address: str
+    port: int
+    zone: str
+    came: float  # since when it is there, steady seconds of the door that hears it
+
+    @classmethod
+    def read(cls, told: Any, now: float) -> DoorPlace:
+        _, address, port, zone, age = told
+        return cls(str(address), int(port), str(zone), now - max(0.0, float(age)))
+
+
 @dataclass(slots=True)
 class Source:
     """One directory, as it is connected now."""
 
     run: str = ""
     number: int = 0
-    doors: dict[str, tuple[str, int, str]] = field(default_factory=dict)
+    doors: dict[str, DoorPlace] = field(default_factory=dict)
     up: bool = False
 
 
@@ -63,7 +78,7 @@
         """A directory's first word on a connection: all it has, or what changed since its last one."""
         source = self.source(name)
         source.run, source.number, source.up = run, number, True
-        source.doors = {str(d[0]): (str(d[1]), int(d[2]), str(d[3])) for d in doors}
+        source.doors = {str(d[0]): DoorPlace.read(d, now) for d in doors}
         self.doors_changed = True
         if whole:
             for backend in self.backends.values():
@@ -159,21 +174,23 @@
         changed, self.changed = list(self.changed.values()), {}
         return changed
 
-    def told_doors(self, name: str, come: Any, gone: Any) -> None:
+    def told_doors(self, name: str, come: Any, gone: Any, now: float) -> None:
         """A directory's word on doors that have come, and on the ids of those that have gone."""
         source = self.source(name)
         for door in come:
-            source.doors[str(door[0])] = (str(door[1]), int(door[2]), str(door[3]))
+            source.doors[str(door[0])] = DoorPlace.read(door, now)
         for id in gone:
             source.doors.pop(str(id), None)
         self.doors_changed = True
 
-    def doors(self) -> dict[str, tuple[str, int, str]]:
-        """All doors that some connected directory sees: address, port and zone by id."""
-        found: dict[str, tuple[str, int, str]] = {}
+    def doors(self) -> dict[str, DoorPlace]:
+        """All doors that some connected directory sees, by id: as who has seen them for longest tells."""
+        found: dict[str, DoorPlace] = {}
         for source in self.sources.values():
             if source.up:
-                found.update(source.doors)
+                for id, place in source.doors.items():
+                    if id not in found or place.came < found[id].came:
+                        found[id] = place
         return found
 
     def in_touch(self) -> bool:
