Counts: what was let in while cut off is told as late; a part is kept for doors that are away

Cause: traced in a model of doors that are cut off and come back, each with its own list (HeldByDoors). (1) What a cut off door let in by its share over seconds it told in one call, at the end. (2) While two of eight doors let in their shares the holder went on granting the whole rate: under a flood the rule on quotas was passed in 12 of 200 random schedules of cuts, by 1.56 of what it leaves at the worst. Ruled out: the naming of holders alone (0.0359 of requests refused as before); a smaller AFTER_LOSS (0.65: the same schedules break); no rate for shares (doors cut off would refuse nearly all). Change: a call tells how much of its amount is late and since when; the holder keeps by quarters of a second what its store flowed over by, and takes late amounts from that. What the share holds at most, which may have come all at once, is not late. For doors that went within 30 s the holder keeps their part of the rate, which they tell when they come back. Each change taken out fails a test.

--- a/ivymux/testdesk/quotas.py
+++ b/ivymux/testdesk/quotas.py
@@ -22,6 +22,9 @@
 
 TERMS = Terms(retry_ratio=0.2, quota_window=5.0, quota_excess=0.1, quota_slack=20.0)
 ROUND_TRIP = 0.004  # of a call to the counter
+NOTICED = 1.0  # seconds after which it is noticed that a door is cut off
+TOLD = 0.3  # seconds within which doors hear what the core tells
+TIMEOUT = 0.25  # of a call that nobody answers
 WORK = 0.1  # of a request at its server
 CLASSES = tuple(
     i.RequestClass(name, 0.3, 1.2, effect, i.Scope.ALL, 0.0, 1.0, 0.1, False)
@@ -43,6 +46,8 @@
     sent: list[float] = field(default_factory=list)  # when its requests were sent on
     asked: int = 0
     given_up: int = 0  # requests whose last try was refused
+    given_up_at: list[float] = field(default_factory=list)
+    asked_at: list[float] = field(default_factory=list)
     refused: Counter[str] = field(default_factory=Counter)  # tries, by cause
 
     def most(self, span: float) -> int:
@@ -56,6 +61,14 @@
             most = max(most, len(inside))
         return most
 
+    def refused_part(self, start: float, end: float) -> float:
+        """Of the requests asked between two times after the start, the part that was given up."""
+        asked, given_up = (
+            sum(START + start <= at < START + end for at in times)
+            for times in (self.asked_at, self.given_up_at)
+        )
+        return given_up / max(1, asked)
+
     def allowed(self, terms: Terms = TERMS) -> float:
         whole = self.plan.rate * terms.quota_window + self.plan.burst
         return whole * (1 + terms.quota_excess) + terms.quota_slack
@@ -96,6 +109,7 @@
         def come() -> None:
             if rate > 0:
                 tenant.asked += 1
+                tenant.asked_at.append(self.now)
                 self.ask(tenant, 1)
             self.next(tenant)
 
@@ -159,6 +173,7 @@
             tenant.refused[action.why.name] += 1
             if tried >= self.tries:
                 tenant.given_up += 1
+                tenant.given_up_at.append(self.now)
             else:
                 self.at(self.now + action.retry_after + 0.002, lambda: self.ask(tenant, tried + 1))
 
@@ -166,7 +181,72 @@
         """One order for all calls of a name, as their holder has it."""
         if self.now < self.dark_until:
             return
-        total = self.counts.add(count, f"door {n}", self.now)
-        told = i.Counted(count.name, i.Outcome.OK, total, ROUND_TRIP, self.counts.incarnation)
         self.calls[n] += 1
+        self.counted(n, door, count, self.counts)
+
+    def counted(self, n: int, door: Switch, count: i.Count, counts: Counts) -> None:
+        total = counts.add(count, f"door {n}", self.now)
+        told = i.Counted(count.name, i.Outcome.OK, total, ROUND_TRIP, counts.incarnation)
         self.at(self.now + self.way[n], lambda: self.tell_same(n, door, told))
+
+
+class HeldByDoors(Doors):
+    """Each door holds what its own list of doors says that it holds; doors are cut off and come back."""
+
+    def __init__(self, count: int, tenants: list[Tenant], seed: int) -> None:
+        ids = [f"d{n}" for n in range(count)]
+        self.ids, self.cut_off = ids, dict[int, float]()  # since when
+        long_ago = START - 100.0
+        self.lists = [Holders(id, long_ago, first=True) for id in ids]
+        self.came = dict.fromkeys(ids, long_ago)  # the doors that the core hears
+        for holders in self.lists:
+            holders.use(self.came, long_ago)
+            holders.first = False
+        self.held = [Counts(holders, number + 1) for number, holders in enumerate(self.lists)]
+        super().__init__(count, tenants, seed)
+
+    def cut(self, n: int) -> None:
+        """Nobody hears a door any more, and it hears nobody; both are noticed if it lasts."""
+        self.cut_off[n] = self.now
+        self.at(self.now + NOTICED, lambda at=self.now: self.lose(n, at))  # type: ignore[misc]
+
+    def lose(self, n: int, cut_at: float) -> None:
+        if self.cut_off.get(n) != cut_at:
+            return
+        self.came.pop(self.ids[n], None)
+        self.tell_lists()
+        alone = {id: came for id, came in self.came.items() if id != self.ids[n]}
+        self.lists[n].use(alone, self.now)
+
+    def back(self, n: int) -> None:
+        """It is heard again: as one that has just come, where it was given up."""
+        if self.cut_off.pop(n, None) is None:
+            return
+        if self.ids[n] in self.came:
+            self.hear(n)  # on the connections that it still has
+        else:
+            self.came[self.ids[n]] = self.now
+            self.tell_lists()
+
+    def tell_lists(self) -> None:
+        """The core's word reaches each door that it hears, at a time of its own."""
+        for n in range(len(self.lists)):
+            self.at(self.now + TOLD * self.random.random(), lambda n=n: self.hear(n))  # type: ignore[misc]
+
+    def hear(self, n: int) -> None:
+        if n not in self.cut_off:
+            self.lists[n].use(self.came, self.now)
+
+    def add(self, n: int, door: Switch, count: i.Count) -> None:
+        began = self.now - self.way[n]
+        name = self.lists[n].holder(count.name, began - count.since)
+        at = self.ids.index(name) if name is not None else n
+        self.calls[n] += 1
+        if at != n and (n in self.cut_off or at in self.cut_off):
+            late = i.Counted(count.name, i.Outcome.TIMEOUT, 0.0, TIMEOUT)
+            self.at(began + TIMEOUT, lambda: self.tell_same(n, door, late))
+        elif name is None or self.lists[at].holder(count.name, self.now - count.since) != self.ids[at]:
+            failed = i.Counted(count.name, i.Outcome.CONNECT_FAILED, 0.0, ROUND_TRIP)
+            self.at(self.now + self.way[n], lambda: self.tell_same(n, door, failed))
+        else:
+            self.counted(n, door, count, self.held[at])
--- a/orchidhill/interface.py
+++ b/orchidhill/interface.py
@@ -376,7 +376,8 @@
     name's window began: a counter that may have lost the name goes by them.  A counter that keeps stores
     itself goes by ``floor``, the total below which this one would have flowed over, ``seed``, what it lacked
     when its window began as far as its caller knows, and ``known``, the last total that was told, by the
-    incarnation ``knew``.
+    incarnation ``knew``.  Of the amount, ``late`` was let in before, evenly over the last ``spread`` seconds,
+    as the counter could not be asked.
     """
 
     name: int
@@ -389,6 +390,8 @@
     seed: float = 0.0
     known: float = 0.0
     knew: int = 0
+    late: float = 0.0
+    spread: float = 0.0
 
 
 Action = Send | Refuse | Fail | Cancel | SetTimer | Probe | CloseIdle | Tell | Log | Watch | Pull | Count
--- a/orchidhill/switch.py
+++ b/orchidhill/switch.py
@@ -102,6 +102,7 @@
         self.tick_at = -math.inf
         self.scan_at = 0.0
         self.out = 0  # attempts that are out
+        self.alone_since: dict[int, float] = {}  # when what a customer's lease owes began to be let in
         self.unreached: dict[int, int] = {}  # attempts of a request that reached nobody
         self.spared = 0  # further tries that the budget did not allow
         self.lines: dict[int, Line] = {}  # of customers' refused requests
@@ -260,6 +261,20 @@
         spare = AFTER_LOSS * self.beyond(plan)
         made.drained = plan.burst + made.since * plan.rate - min(plan.burst, spare)
         made.known, made.knew = lease.told, lease.born if lease.met else 0
+        owed = (amount if gives else lease.owed) if amount > 0 else 0.0
+        if owed > 0 and (began := self.alone_since.get(lease.customer)) is not None:
+            # The latest of it may have come all at once, as much as the local share holds.
+            made.late = max(0.0, owed - self.most(lease, self.share(lease)))
+            made.spread = min(self.now - began, made.since)
+
+    def admit_alone(self, lease: Lease, job: Job, units: float) -> None:
+        """As in Admission; since when is kept: what was let in then is told late."""
+        before = lease.owed
+        super().admit_alone(lease, job, units)
+        if before < EPS < lease.owed and not lease.slots:
+            if len(self.alone_since) > 2 * len(self.leases) + 64:
+                self.alone_since = {c: at for c, at in self.alone_since.items() if (c, False) in self.leases}
+            self.alone_since[lease.customer] = self.now
 
     def largest(self, lease: Lease) -> float:
         """What doors hold unspent was taken from a store that has filled up since: in a flood it comes on top
--- a/tests/switchboard/test_counts.py
+++ b/tests/switchboard/test_counts.py
@@ -10,7 +10,7 @@
 from ivymux.switchboard.holders import Holders
 from ivymux.switchboard.tables import customer
 from ivymux.testdesk.clocked import START
-from ivymux.testdesk.quotas import Doors, Tenant, plan
+from ivymux.testdesk.quotas import Doors, HeldByDoors, Tenant, plan
 from orchidhill.interface import Count
 
 
@@ -25,7 +25,7 @@
 
 def test_a_name_that_may_have_been_elsewhere_begins_drained() -> None:
     holders = Holders("d0", 0.0)
-    holders.set({"d0", "d1"}, 1.0)
+    holders.use({"d0": 1.0, "d1": 1.0}, 1.0)
     counts = Counts(holders, 77)
     # Its window began before this door could know of it: what was granted there is not known.
     assert counts.add(count(5, 3.0, drained=100.0, since=2.0), "d1", 2.0) == 103.0
@@ -61,6 +61,67 @@
     assert counts.add(again, "d1", 10.6) == 99.0  # its own words it knows
 
 
+def test_what_was_let_in_while_the_store_flowed_over_does_not_empty_it_later() -> None:
+    """Ten units a second, full from the beginning: what is told late was taken from what flowed over."""
+    counts = held()
+    counts.add(count(1, 1.0, since=0.1, floor=1.0), "d1", 0.1)
+    for n in range(1, 9):
+        counts.add(count(1, 1.0, since=float(n), floor=10.0 * n), "d1", float(n))
+    before = counts.store.totals[b"1"]
+    told = {"since": 8.0, "floor": 80.0, "late": 24.0, "spread": 6.0}
+    assert counts.add(count(1, 24.0, call=5, **told), "d2", 8.0) == before
+    assert counts.add(count(1, 24.0, call=5, **told), "d2", 8.0) == before  # the same again
+    # 36 more than flowed over in these seconds are lacking now, and what came all at once is.
+    assert counts.add(count(1, 60.0, since=8.0, floor=80.0, late=60.0, spread=6.0), "d3", 8.0) > before + 24.0
+    assert counts.add(count(1, 5.0, since=8.0, floor=80.0), "d3", 8.0) > before + 29.0
+
+
+def test_a_part_is_kept_for_doors_that_may_be_cut_off() -> None:
+    holders = Holders("d0", 0.0, first=True)
+    doors = {f"d{n}": -100.0 for n in range(8)}
+    holders.use(doors, 0.0)
+    counts = Counts(holders, 77)
+    spent = {"since": 10.0, "floor": 100.0}
+    assert counts.add(count(1, 50.0, **spent), "d1", 10.0) == 150.0
+    holders.use({d: at for d, at in doors.items() if d not in ("d6", "d7")}, 10.0)
+    # Two of eight are away for two seconds: a quarter of what came is theirs.
+    assert counts.add(count(1, 0.0, since=12.0, floor=120.0), "d1", 12.0) == pytest.approx(155.0)
+    holders.use(doors, 12.0)
+    # One is back, and tells of as much: it was kept for it.
+    assert counts.add(
+        count(1, 2.5, since=12.0, floor=120.0, late=2.5, spread=2.0), "d6", 12.0
+    ) == pytest.approx(155.0)
+
+
+def cut_off_and_back(seed: int, part: float, hot: int = 0) -> HeldByDoors:
+    """Eight tenants at eight doors, two of which are cut off from `at` to `at` + 8 s."""
+    tenants = [
+        Tenant(plan(f"t{n}", 33.0, 33.0), (lambda s: 33.0 * HOT(s)) if n < hot else lambda s: part * 33.0)
+        for n in range(8)
+    ]
+    made = HeldByDoors(8, tenants, seed)
+    at = START + 3.0 + 1.1 * seed
+    for door in (2 * seed % 8, (2 * seed + 1) % 8):
+        made.at(at, lambda door=door: made.cut(door))  # type: ignore[misc]
+        made.at(at + 8.0, lambda door=door: made.back(door))  # type: ignore[misc]
+    made.run(3.0 + 1.1 * seed + 12.0)
+    return made
+
+
+@pytest.mark.parametrize("seed", [3, 11, 20])
+def test_tenants_inside_their_quotas_are_served_as_doors_come_back(seed: int) -> None:
+    """0.08 to 0.16 of them were refused; a tenant's worst was 0.24."""
+    made, back = cut_off_and_back(seed, 0.8), 3.0 + 1.1 * seed + 8.0
+    assert max(t.refused_part(back, back + 3.0) for t in made.tenants) < 1 / 20
+
+
+@pytest.mark.parametrize("seed", [0, 1])
+def test_a_quota_holds_while_doors_are_cut_off_and_let_in_their_shares(seed: int) -> None:
+    """Of 200 random schedules with floods 12 passed the rule, by 1.56 times what it leaves."""
+    made = cut_off_and_back(seed, 0.7, hot=2)
+    assert max(t.most(5.0) - t.allowed() for t in made.tenants) <= 0
+
+
 HOT: Callable[[float], float] = lambda s: 9.0 if 3.0 <= s < 9.0 else 0.6  # noqa: E731  # times its rate
 
 
