Bench: a door of the system beside the platform's, with fresh processes in each round

Two processes differ as long as they live. Change: fresh doors of both kinds for each of 5 or 11 rounds, the median round's ratio; with a slack that makes a call for each fourth request, and without any, beside each other. The counts' steps take a shorter way where a span of time lies within one of them, and none where no door is missing.

--- a/bench/system.py
+++ b/bench/system.py
@@ -1,4 +1,7 @@
-"""A door of the system beside the platform's: CPU for each request, in turn in one run; start and memory.
+"""A door of the system beside the platform's: CPU for each request, in turn; start and memory.
+
+Two processes of one program differ by up to a fifth as long as they live, so each round has fresh ones, and
+the ratio is that of the median round.
 
 `python -m bench.system [--quick] [--json FILE|-]`
 """
@@ -33,6 +36,9 @@
 
 CORES = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 TENANTS = 8
+# What the rule on quotas leaves, in requests: a call to the holder for each fourth request or so, as doors of
+# the deployments make; without any there is one for each request, which is measured beside.
+SLACK = 8.0
 
 
 def document() -> dict[str, Any]:
@@ -68,6 +74,7 @@
         self.folder, self.children = folder, list[Child]()
         self.configuration = configuration or document()
         self.descriptors = 1300  # of a process
+        self.slack = SLACK
         self.seq = itertools.count(1)
         self.control, self.front, self.ready, self.inner = free_port(), free_port(), free_port(), free_port()
 
@@ -82,6 +89,7 @@
                             "limits": {"memory_mb": 512, "fd_limit": self.descriptors}},
             "network_table": {"listen_addrs": listen, "inner_port_range": [self.inner, self.inner + 3],
                               "seed_nodes": [f"{core}:{self.control}" for core in CORES]},
+            "terms_table": {"timing_bounds": {"quota_slack": self.slack}},
         }))  # fmt: skip
         env = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")}
         made = Child("-m", "ivymux", role, "--settings", str(path), env=env, prints_port=False)
@@ -124,49 +132,85 @@
                 await asyncio.sleep(0.005)
 
 
+class Round:
+    """Fresh doors of both kinds; microseconds of CPU for each request, by kind, a figure a run."""
+
+    def __init__(self, system: System, platform: dict[str, str], port: int) -> None:
+        self.system, self.env, self.port = system, platform, port
+        self.started = 0.0
+
+    async def measure(self, count: int, runs: int) -> dict[str, list[float]]:
+        platform = Child("-m", "ivymux", prints_port=False, env=self.env)
+        began = time.perf_counter()
+        door = self.system.start("127.0.0.1", "switchboard")
+        try:
+            await self.system.serves()
+            self.started = time.perf_counter() - began
+            await listening(self.port)
+            spent: dict[str, list[float]] = {"platform": [], "system": []}
+            for run in range(runs + 1):
+                of_platform = await cpu_for_each(platform, PlatformLoad(count), self.port)
+                of_system = await cpu_for_each(door, SystemLoad(count), self.system.front)
+                if run:  # the first warms up
+                    spent["platform"].append(of_platform)
+                    spent["system"].append(of_system)
+            before, since = door.cpu(), time.perf_counter()
+            await asyncio.sleep(1)
+            self.idle = 100 * (door.cpu() - before) / (time.perf_counter() - since)
+            self.peak_mb = door.peak_mb()
+            return spent
+        finally:
+            door.stop()
+            platform.stop()
+            self.system.children.remove(door)
+
+
+def middle(values: list[float]) -> float:
+    return sorted(values)[len(values) // 2]
+
+
 async def measure(quick: bool, folder: Path) -> tuple[dict[str, Any], dict[str, float]]:
-    count, runs = (1_000, 7) if quick else (3_000, 21)
+    count, runs, rounds = (1_000, 3, 5) if quick else (3_000, 5, 11)
     workers = [Child("-m", "bench.parts", "worker") for _ in range(WORKERS)]
     sealed = [Child("-m", "bench.parts", "sealed") for _ in range(WORKERS)]
     tally = Child("-m", "bench.parts", "tally")
     system, port = System(folder), free_port()
     env = {k: v for k, v in os.environ.items() if not k.startswith("NODE_")}
-    platform = Child(
-        "-m", "ivymux", prints_port=False,
-        env=env | {"NODE_CONFIG": str(platform_config(folder, workers, tally, port))},
-    )  # fmt: skip
+    env |= {"NODE_CONFIG": str(platform_config(folder, workers, tally, port))}
+    figures: dict[str, Any] = {}
+    ratios: dict[str, float] = {}
     try:
         for ip in CORES:
             system.start(ip, "exchange")
             system.start(ip, "directory")
-        began = time.perf_counter()
-        door = system.start("127.0.0.1", "switchboard")
         await system.take(sealed)
         beating = asyncio.get_running_loop().create_task(system.beat(sealed))
-        await system.serves()
-        started = time.perf_counter() - began
-        await listening(port)
-        spent: dict[str, list[float]] = {"platform": [], "system": []}
-        for run in range(runs + 1):
-            of_platform = await cpu_for_each(platform, PlatformLoad(count), port)
-            of_system = await cpu_for_each(door, SystemLoad(count), system.front)
-            if run:  # the first warms up
-                spent["platform"].append(of_platform)
-                spent["system"].append(of_system)
-        before, since = door.cpu(), time.perf_counter()
-        await asyncio.sleep(3)
-        idle = (door.cpu() - before) / (time.perf_counter() - since)
-        figures = {f"CPU for each request, {name}": figure(values, "us") for name, values in spent.items()}
-        figures["idle CPU of a door"] = figure([100 * idle], "% of a core")
-        figures["peak memory of a door"] = figure([door.peak_mb()], "MB")
-        figures["peak memory of a core process"] = figure([c.peak_mb() for c in system.children[:-1]], "MB")
-        figures["core and door started, configuration in force"] = figure([started], "s")
+        made = Round(system, env, port)
+        for slack, name in ((SLACK, ""), (0.0, ", quotas without slack")):
+            system.slack = slack
+            spent: dict[str, list[float]] = {"platform": [], "system": []}
+            pairs, idle, peak, started = [], list[float](), list[float](), list[float]()
+            for _ in range(rounds):
+                found = await made.measure(count, runs)
+                for kind, values in found.items():
+                    spent[kind].append(middle(values))
+                pairs.append(spent["system"][-1] / spent["platform"][-1])
+                idle.append(made.idle)
+                peak.append(made.peak_mb)
+                started.append(made.started)
+            ratios[f"system over platform{name}"] = middle(pairs)
+            figures[f"CPU for each request, system{name}"] = figure(spent["system"], "us")
+            if not name:
+                figures["CPU for each request, platform"] = figure(spent["platform"], "us")
+                figures["idle CPU of a door"] = figure(idle, "% of a core")
+                figures["peak memory of a door"] = figure(peak, "MB")
+                figures["a door started, configuration in force"] = figure(started, "s")
+        figures["peak memory of a core process"] = figure([c.peak_mb() for c in system.children], "MB")
         beating.cancel()
     finally:
-        for child in (*workers, *sealed, tally, platform, *system.children):
+        for child in (*workers, *sealed, tally, *system.children):
             child.stop()
-    pairs = sorted(a / b for a, b in zip(spent["system"], spent["platform"], strict=True))
-    return figures, {"system over platform": pairs[len(pairs) // 2]}
+    return figures, ratios
 
 
 async def main() -> None:
--- a/ivymux/switchboard/counts.py
+++ b/ivymux/switchboard/counts.py
@@ -38,8 +38,12 @@
             self.note(over, min(count.since, over * count.since / count.floor), now)
 
     def note(self, amount: float, spread: float, now: float) -> None:
-        for step, part in parts(now - spread, now):
-            self.flows[step] = self.flows.get(step, 0.0) + part * amount
+        last = math.floor(now / STEP)
+        if now - spread >= last * STEP:  # as it mostly is
+            self.flows[last] = self.flows.get(last, 0.0) + amount
+        else:
+            for step, part in parts(now - spread, now):
+                self.flows[step] = self.flows.get(step, 0.0) + part * amount
         while len(self.flows) > MOST_STEPS:
             del self.flows[min(self.flows)]
 
--- a/ivymux/switchboard/holders.py
+++ b/ivymux/switchboard/holders.py
@@ -111,6 +111,8 @@
 
     def missing(self, now: float) -> float:
         """The part of all doors that may be cut off, and let in their shares of each quota by themselves."""
+        if not self.gone:
+            return 0.0
         away = sum(now - at < AWAY for at in self.gone.values())
         return away / max(1, away + len(self.came))
 
