Counts: where all doors had to start first a tenant begins with half a burst more

That half is for a holder that granted a burst in the very moment it was lost; where all doors had to start first, that was at least a start ago. Ruled out: more than that (a flood may have had all of its span just before, and no disk of a door tells). Change: doors that find no older one in their first seconds begin lost tenants with AFTER_LOSS as it is.

--- a/ivymux/switchboard/counts.py
+++ b/ivymux/switchboard/counts.py
@@ -22,6 +22,7 @@
 MOST_NAMES = 100_000
 MOST_IDLE = 60.0  # seconds after which what was granted to a tenant is of no matter any more
 SURE = 1e18  # of a name that began by the worst case: nothing that its store lacked can come on top
+LUMP = 0.5  # of a burst, what a tenant that is taken over is granted less to begin with
 STEP = 0.1  # seconds: how finely it is kept when something was granted
 KEPT = 30.0  # seconds for which it is kept when a store flowed over
 
@@ -138,7 +139,11 @@
         if len(self.books) > 2 * len(self.store.totals) + 64:
             self.books = {c: b for c, b in self.books.items() if now - b.at < MOST_IDLE}
         lost = count.drained > 0 and not self.holders.trusted(count.customer, count.since, now)
-        level = count.burst + count.since * count.rate - count.drained if lost else count.burst
+        level = count.burst
+        if lost:
+            # Whoever held it may have granted a burst just now, unless all doors had to start first.
+            spent = 0.0 if self.holders.anew(now) else LUMP * count.burst
+            level += count.since * count.rate - count.drained - spent
         book = Book(level, now, count.name, now - count.since, SURE if lost else 0.0)
         book.granted.spread(count.span * count.rate, now - count.span, now)
         book.granted.put(math.floor(now / STEP), count.burst - level)
--- a/ivymux/switchboard/holders.py
+++ b/ivymux/switchboard/holders.py
@@ -20,6 +20,7 @@
 SETTLED = 1.5  # seconds after a change of the list in which doors may not agree on it yet
 SAME = 1.0  # seconds by which directories may differ on when a door came
 KEPT = 30.0  # seconds: no window is longer
+TOGETHER = 3.0  # seconds within which all doors start that were lost together
 AWAY = 30.0  # seconds for which a part of each quota is kept for a door that went: it may be alive, cut off
 MOST_NAMED = 20_000
 
@@ -34,7 +35,8 @@
 class Holders:
     def __init__(self, me: str, now: float, first: bool = False) -> None:
         """`first`: the whole system starts for the first time, so that nobody held anything before."""
-        self.me, self.first = me, first
+        self.me, self.first, self.born = me, first, now
+        self.oldest = now  # since when the oldest door that was ever told of is there
         self.came: dict[str, float] = {}  # doors, and since when each of them is there
         self.times: list[float] = []  # the same in their order
         self.seats: list[Seats] = [NOBODY]  # who has them among the first n of these
@@ -50,6 +52,7 @@
         came = {d: self.since(d, at) for d, at in doors.items()}
         if came == self.came:
             return
+        self.oldest = min(self.oldest, *came.values(), now)
         before = self.times, self.seats
         went = self.came.keys() - came.keys() - {self.me}
         self.gone = {d: at for d, at in self.gone.items() if d not in came and now - at < AWAY}
@@ -119,6 +122,11 @@
         away = sum(now - at < AWAY for at in self.gone.values())
         return away / max(1, away + len(self.came))
 
+    def anew(self, now: float) -> bool:
+        """Whether all doors started about when this one did: all was granted before that."""
+        together = self.oldest > self.born - TOGETHER and not self.gone
+        return together and now - self.born < 2 * TOGETHER
+
     def trusted(self, customer: int, since: float, now: float) -> bool:
         """Whether a window that began `since` seconds ago was held here from its beginning, if anywhere."""
         return self.first or now - self.changed_at[customer % SEATS] > since + SETTLED
--- a/ivymux/testdesk/quotas.py
+++ b/ivymux/testdesk/quotas.py
@@ -74,9 +74,9 @@
         return whole * (1 + terms.quota_excess) + terms.quota_slack
 
 
-def alone(id: str, now: float, first: bool = False) -> Holders:
+def alone(id: str, now: float, age: float = 100.0, first: bool = False) -> Holders:
     made = Holders(id, now, first)
-    made.use({id: now - 100.0}, now)
+    made.use({id: now - age}, now)
     return made
 
 
@@ -143,11 +143,14 @@
 
     def lose_counts(self) -> None:
         """Who held the counts is gone; another door is named that knows nothing of them."""
-        self.counts = Counts(alone("another", self.now), self.counts.incarnation + 1)
+        self.lost(100.0)
+
+    def lost(self, age: float) -> None:
+        self.counts = Counts(alone("another", self.now, age), self.counts.incarnation + 1)
 
     def lose_all(self, dark: float) -> None:
         """All doors are killed, and serve again after `dark` seconds; what comes meanwhile is given up."""
-        self.lose_counts()
+        self.lost(0.0)
         self.waiting.clear()
         self.dark_until = self.now + dark
         self.at(self.dark_until, self.again)
--- a/orchidhill/switch.py
+++ b/orchidhill/switch.py
@@ -259,7 +259,7 @@
         made.since = self.now + lease.phase - lease.window * lease.length
         made.customer, made.seed = lease.customer, lease.seed
         made.rate, made.burst, made.span = plan.rate, plan.burst, self.terms.quota_window
-        spare = AFTER_LOSS * self.beyond(plan) - 0.5 * plan.burst
+        spare = AFTER_LOSS * self.beyond(plan)
         made.drained = plan.burst + made.since * plan.rate - min(plan.burst, spare)
         made.known, made.knew = lease.told, lease.born if lease.met else 0
         owed = (amount if gives else lease.owed) if amount > 0 else 0.0
