--- a/ivymux/testdesk/explore.py
+++ b/ivymux/testdesk/explore.py
@@ -15,7 +15,7 @@
 from ivymux.exchange.epochs import Member
 from ivymux.testdesk.clocked import START
 from ivymux.testdesk.cores import Broken
-from ivymux.testdesk.quotas import Doors, Tenant, plan
+from ivymux.testdesk.quotas import Doors, HeldByDoors, Tenant, plan
 from ivymux.testdesk.schedules import FAULTS, Fault, Make, two_changes
 from ivymux.testdesk.trialrun import Happening, Run, drawn
 
@@ -23,6 +23,7 @@
 STEPS = 40  # of the core's run in which faults are placed
 MOST_FAULTS = 8
 FLOODED = 9.0  # seconds of a flood
+CUT_DOORS = 6
 
 
 class World(Protocol):
@@ -109,6 +110,34 @@
         return f"{most} in 5 s, {tenant.allowed():.0f} are allowed" if most > tenant.allowed() else ""
 
 
+@dataclass(frozen=True, slots=True)
+class Cuts:
+    """A tenant floods six doors that are cut off and come back; each holds by its own list (quotas.py)."""
+
+    name: str = "cuts"
+
+    def draw(self, chance: random.Random) -> Events:
+        cuts = []
+        for _ in range(chance.randint(1, 4)):
+            door, at = chance.randrange(CUT_DOORS), chance.uniform(1.0, FLOODED - 1)
+            cuts.append(f"{at:.2f}:{door}:{chance.uniform(0.05, 6.0):.2f}")
+        return (f"seed:{chance.randrange(1 << 30)}", *sorted(cuts))
+
+    def play(self, events: Events) -> str:
+        """Of each event: when a door is cut off, which, and for how many seconds."""
+        seed = next((int(e.removeprefix("seed:")) for e in events if e.startswith("seed:")), 0)
+        tenant = Tenant(plan("t", 30.0, 30.0), lambda s: 20.0 if s < 1.0 else 180.0)
+        made = HeldByDoors(CUT_DOORS, [tenant], seed)
+        for event in events:
+            if not event.startswith("seed:"):
+                at, door, lasts = (float(part) for part in event.split(":"))
+                made.at(START + at, lambda n=int(door): made.cut(n))  # type: ignore[misc]
+                made.at(START + at + lasts, lambda n=int(door): made.back(n))  # type: ignore[misc]
+        made.run(FLOODED + 4.0)
+        most = tenant.most(5.0)
+        return f"{most} in 5 s, {tenant.allowed():.0f} are allowed" if most > tenant.allowed() else ""
+
+
 @dataclass(frozen=True, slots=True)
 class Doubts:
     """Doors that meet failures at the backends of one service (grey.py): whom they shut out."""
@@ -144,7 +173,7 @@
         return ""
 
 
-WORLDS: tuple[Callable[[], World], ...] = (Core, Trials, Quotas, Doubts)
+WORLDS: tuple[Callable[[], World], ...] = (Core, Trials, Quotas, Cuts, Doubts)
 
 
 @dataclass(frozen=True, slots=True)
--- a/ivymux/testdesk/seeded.py
+++ b/ivymux/testdesk/seeded.py
@@ -17,8 +17,9 @@
 from ivymux.intercept.board import Board
 from ivymux.intercept.catch import Catch
 from ivymux.switchboard.counts import Book, Counts
+from ivymux.switchboard.holders import Holders
 from ivymux.testdesk.cores import Cores, Disk
-from ivymux.testdesk.explore import Core, Doubts, Quotas, Trials, World
+from ivymux.testdesk.explore import Core, Cuts, Doubts, Quotas, Trials, World
 from orchidhill import interface as i
 
 Seeded = Callable[[], contextlib.AbstractContextManager[World]]
@@ -167,6 +168,10 @@
     return book.level + count.span * count.rate
 
 
+def always(self: Counts, book: Book, count: i.Count, now: float) -> bool:
+    return True
+
+
 true_renew, true_use, true_find = Catch.renew, Catch.use, Catch.find
 
 FAULTS: dict[str, Seeded] = {
@@ -185,9 +190,11 @@
     "one door's word that shuts a backend out": lambda: swapped(Doubts(), grey, DOORS=1),
     "no bound on what is shut out": lambda: swapped(Doubts(), grey, PART=1.0),
     "a store that is not kept to its burst": lambda: swapped(Quotas(), Counts, room=endless_room),
+    "counts that are forgotten": lambda: swapped(Cuts(), Counts, open=forgets),
+    "nothing kept for doors that are cut off": lambda: swapped(Cuts(), Holders, missing=lambda *a: 0.0),
 }
 
-# Those that these worlds did not show, in 1,500 to 4,000 days of the core, 80 of quotas.  Random schedules
+# Those that these worlds did not show, in 1,500 to 4,000 days of the core, 400 of cuts.  Random schedules
 # (schedules.py, `play`) show the first.
 UNSEEN: dict[str, Seeded] = {
     "a lease that is not waited out": lambda: contextlib.nullcontext(Core(Hasty)),
@@ -196,5 +203,5 @@
     "promises that are on no disk": lambda: contextlib.nullcontext(Core(Forgetful)),
     "an answer before the own disk": lambda: contextlib.nullcontext(Core(Early)),
     "a wiped machine that votes as the old one": lambda: swapped(Core(), Cores, wipe=same_name),
-    "counts that are forgotten": lambda: swapped(Quotas(), Counts, open=forgets),
+    "a door that comes back and goes on with its book": lambda: swapped(Cuts(), Counts, continues=always),
 }
