Switchboard: a door that has just joined takes windows that began as it came for spent

Cause: read again: doors hear of one that comes within moments of each other, over full links later. Of a window that begins just then one may still call the door that held the tenant before, which goes on, and others the new one, which would open it full. And a peer's rate, burst, span and late amounts were not bounded below. Ruled out: waiting longer until a door may hold (the same gap later); asking the former holder. Change: such a door opens windows that began within 3 s of its coming as if they were spent, where older doors are there; amounts below 0 and spans over an hour end their connection, counted.

--- a/ivymux/switchboard/counter.py
+++ b/ivymux/switchboard/counter.py
@@ -20,6 +20,7 @@
 from orchidhill.interface import Count, Counted, Late, Outcome
 
 MOST_UNSENT = 500  # calls that wait for a connection
+MOST_SPAN = 3600.0  # seconds, of a rule's window or of what is told late
 MOST_OUT = 2_000  # calls that wait for their answers
 
 log = Log("switchboard")
@@ -42,6 +43,14 @@
     return made
 
 
+def least(value: object, most: float = MOST_AMOUNT) -> float:
+    """The same, of nothing below 0 and nothing above a bound.  Raises ValueError."""
+    made = plain(value)
+    if not 0 <= made <= most:
+        raise ValueError(f"no number from 0 to {most:g}: {value!r:.40}")
+    return made
+
+
 class HeldCounter:
     """The counter as the host calls it: each call is answered once, those of one name in their order."""
 
@@ -225,8 +234,9 @@
         if self.holders.holder(int(name), int(customer), now - plain(since)) == self.me:
             count = Count(
                 int(name), plain(amount), plain(life), int(call), plain(drained), plain(since), int(customer),
-                plain(rate), plain(burst), plain(span), plain(seed),
-                plain(known[0]) if known else 0.0, int(known[1]) if known else 0, plain(late), plain(spread),
+                least(rate), least(burst), least(span, MOST_SPAN), least(seed),
+                plain(known[0]) if known else 0.0, int(known[1]) if known else 0,
+                least(late), least(spread, MOST_SPAN),
             )  # fmt: skip
             with contextlib.suppress(TallyFull):
                 answer["t"] = self.counts.add(count, str(message["by"]), now)
--- a/ivymux/switchboard/holders.py
+++ b/ivymux/switchboard/holders.py
@@ -129,4 +129,10 @@
 
     def trusted(self, customer: int, since: float, now: float) -> bool:
         """Whether a window that began `since` seconds ago was held here from its beginning, if anywhere."""
-        return self.first or now - self.changed_at[customer % SEATS] > since + SETTLED
+        if self.first:
+            return True
+        joined = self.came.get(self.me, now)
+        # Of one that joins others may hear late, and go on with who held the window's tenant before.
+        if joined - self.oldest > TOGETHER and now - since < joined + 2 * SETTLED:
+            return False
+        return now - self.changed_at[customer % SEATS] > since + SETTLED
--- a/tests/switchboard/test_roll.py
+++ b/tests/switchboard/test_roll.py
@@ -108,6 +108,12 @@
     holders.use({**doors, back: 20.4}, 20.5)  # as another directory tells it: the same
     holders.named.clear()
     assert {name: holders.holder(name, name, 20.0 + SETTLED + 0.1) for name in range(600)} == before
+    # It opens what began just behind as if it were spent: some may not have heard of it.
+    mine = Holders(back, 19.0)
+    mine.use({**doors, back: 20.0}, 20.1)
+    seat = next(name for name, door in before.items() if door == back)
+    assert mine.holder(1, seat, 22.0) == back and not mine.trusted(seat, 1.0, 23.0)
+    assert mine.trusted(seat, 1.0, 24.5)
     # With hardly any that were there before, all may hold what had begun.
     young = Holders("d0", 50.0)
     young.use({"d0": -9.0, "d1": -9.0, **{f"d{n}": 50.0 for n in range(2, 8)}}, 50.1)
