Counts: a tenant that is taken over begins with a request at least

A tenant of 500 a second and a burst of 500, with a slack of 320, began at -26 behind a loss of all core machines, as half a burst is kept back then: its first request was told to come back in 0.054 s. Change: it begins with one request at least. The test of the begin holds to it, and to half a burst where more is there.

--- a/ivymux/switchboard/counts.py
+++ b/ivymux/switchboard/counts.py
@@ -144,6 +144,7 @@
             # Whoever held it may have granted a burst just now, unless all doors had to start first.
             spent = 0.0 if self.holders.anew(now) else LUMP * count.burst
             level += count.since * count.rate - count.drained - spent
+            level = max(min(1.0, count.burst), level)  # one request is within what the rule leaves
         book = Book(level, now, count.name, now - count.since, SURE if lost else 0.0)
         book.granted.spread(count.span * count.rate, now - count.span, now)
         book.granted.put(math.floor(now / STEP), count.burst - level)
