Tests: a quota while doors are cut off fails again where nothing is kept for them

Cause: read again, with each part taken out in turn: since grants are counted over the span this test passed with Holders.missing at 0; only the unit test and a seeded fault held to it. Two of eight doors at 33 a second do not reach the bound any more. Change: three of eight doors are cut off for 7 s in a flood of a tenant at 99 a second.

--- a/tests/switchboard/test_counts.py
+++ b/tests/switchboard/test_counts.py
@@ -154,12 +154,9 @@
     assert room(counts, 11.0, 11.0) == pytest.approx(left)
 
 
-def cut_off_and_back(seed: int, part: float, hot: int = 0) -> HeldByDoors:
-    """Eight tenants at eight doors, two of which are cut off from `at` to `at` + 8 s."""
-    tenants = [
-        Tenant(plan(f"t{n}", 33.0, 33.0), (lambda s: 33.0 * HOT(s)) if n < hot else lambda s: part * 33.0)
-        for n in range(8)
-    ]
+def cut_off_and_back(seed: int, part: float) -> HeldByDoors:
+    """Eight tenants at eight doors, two of which are cut off from 3 s and 1.1 s a seed on, for 8 s."""
+    tenants = [Tenant(plan(f"t{n}", 33.0, 33.0), lambda s: part * 33.0) for n in range(8)]
     made = HeldByDoors(8, tenants, seed)
     at = START + 3.0 + 1.1 * seed
     for door in (2 * seed % 8, (2 * seed + 1) % 8):
@@ -178,9 +175,14 @@
 
 @pytest.mark.parametrize("seed", [0, 1])
 def test_a_quota_holds_while_doors_are_cut_off_and_let_in_their_shares(seed: int) -> None:
-    """Of 200 random schedules with floods 12 passed the rule, by 1.56 times what it leaves."""
-    made = cut_off_and_back(seed, 0.7, hot=2)
-    assert max(t.most(5.0) - t.allowed() for t in made.tenants) <= 0
+    """Three of eight let in theirs; with nothing kept for them 51 more were sent than the rule bears."""
+    tenant = Tenant(plan("hot", 99.0, 99.0), lambda s: 99.0 * HOT(s))
+    made = HeldByDoors(8, [tenant], seed)
+    for door in range(seed, seed + 3):
+        made.at(START + 3.5, lambda door=door: made.cut(door))  # type: ignore[misc]
+        made.at(START + 10.5, lambda door=door: made.back(door))  # type: ignore[misc]
+    made.run(11.5)
+    assert tenant.most(5.0) <= tenant.allowed()
 
 
 HOT: Callable[[float], float] = lambda s: 9.0 if 3.0 <= s < 9.0 else 0.6  # noqa: E731  # times its rate
