--- a/bench/pairs.py
+++ b/bench/pairs.py
@@ -1,6 +1,6 @@
 """Days of the users' bench: a site's troubles alone and two at once; closing faults; a busy evening.
 
-    python -m bench.pairs SITE --fleetbench PATH --out FOLDER [--jobs N] [--part K/N] [--why "..."]
+    python -m bench.pairs SITE --fleetbench PATH --out FOLDER [--jobs N] [--part K/N] [--only KIND,...]
     python -m bench.pairs SITE --out FOLDER --table     # the days that have a line, as a table of Markdown
     python -m bench.pairs SITE ... --set closing|busy --seeds N     # the same fault with other luck
 
@@ -117,6 +117,7 @@
     parser.add_argument("--fleetbench", default="")
     parser.add_argument("--set", choices=("pairs", "closing", "busy"), default="pairs")
     parser.add_argument("--seeds", type=int, default=20)
+    parser.add_argument("--only", default="", help="kinds of trouble, with commas: no others are played")
     parser.add_argument("--table", action="store_true")
     parser.add_argument("--out", type=Path, required=True)
     parser.add_argument("--jobs", type=int, default=4)
@@ -126,7 +127,10 @@
     args = parser.parse_args()
     args.out.mkdir(parents=True, exist_ok=True)
     site = tomllib.loads(Path(args.site).read_text())
-    troubles = site["troubles"]
+    kinds = set(args.only.split(",")) - {""}
+    troubles = [t for t in site["troubles"] if not kinds or t["kind"] in kinds]
+    if not troubles:
+        parser.error(f"--only: none of these is a trouble of the site: {args.only}")
     days: list[tuple[Troubles, dict[str, Any] | None]]
     if args.set == "pairs":
         days = [([t], None) for t in troubles] + [
