Sight: a door counts the clients that leave and what becomes of their attempts

Need: logs and metrics could not tell whether a door hears of a client's leave, ends nothing, or ends what then runs on. ReadyFront became PagesFront, which both pages use. No decision is changed.

--- a/ivymux/door/host.py
+++ b/ivymux/door/host.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from ivymux.door.departures import Departures
 from ivymux.door.front import Answer, Call
 from ivymux.door.limits import Address
 from ivymux.door.refusals import FAILED
@@ -45,6 +46,7 @@
     settled: bool = False  # answered, or nobody waits any more
     claiming: bool = False  # nothing is sent before its claim is heard of, or while it is held
     answer: Answer | None = None
+    left_at: float | None = None  # monotonic time at which its client left it unanswered
 
 
 class Counter(Protocol):
@@ -68,6 +70,7 @@
         self.unknown: set[str] = set()  # kinds of action that were logged as not supported
         self.waiting = 0  # requests without their answer
         self.told = told or Told()
+        self.departures = Departures()
 
     # --- events in ---------------------------------------------------------------------------------
 
@@ -141,6 +144,9 @@
     def left(self, request: Open) -> None:
         """The client has gone away; attempts that are out run on."""
         if not request.settled:
+            request.left_at = time.monotonic()
+            unwritten = sum(attempt.link is None for attempt in request.out.values())
+            self.departures.left(len(request.out), unwritten)
             self.settle(request, None)
             self.post(i.Left(request.number))
             self.drop(request)
@@ -263,6 +269,9 @@
     def finished(self, request: Open, number: int, backend: int, result: Result) -> None:
         request.out.pop(number, None)
         request.last = result
+        if request.left_at is not None:
+            cancelled = result.outcome in (Outcome.CANCELLED, Outcome.MOOT)
+            self.departures.ended(time.monotonic() - request.left_at, cancelled)
         if not result.outcome.never_ran:
             request.may_have_run = True
         if result.outcome is Outcome.OK and not request.settled:
--- a/ivymux/switchboard/front.py
+++ b/ivymux/switchboard/front.py
@@ -179,34 +179,3 @@
 
 def _no_payload(left: float) -> bytes:
     raise AssertionError("what goes to a backend names it")
-
-
-class ReadyFront:
-    """The front of the address at which the platform asks whether this door takes clients."""
-
-    half_close = False
-    close_refused = False
-    head_status = 431
-    most_unread = 10
-    most_body = 1024
-
-    def __init__(self, ready: Callable[[], bool]) -> None:
-        self.ready = ready
-
-    def local(self, target: bytes) -> Answer | None:
-        if target.partition(b"?")[0] == b"/readiness":
-            return Answer(200 if self.ready() else 503)
-        return Answer(404)
-
-    def take(
-        self, method: bytes, target: bytes, headers: Headers, body: list[bytes], began: float, peer: str
-    ) -> Call | Answer:
-        raise BadRequest("nothing else here", 404)
-
-    def refusal(self, error: BadRequest) -> Answer:
-        return Answer(error.status)
-
-    def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
-        end = b"connection: close\r\n" if close else b""
-        reason = REASONS.get(answer.status, "Answer").encode()
-        return b"HTTP/1.1 %d %s\r\ncontent-length: 0\r\n%s\r\n" % (answer.status, reason, end)
--- /dev/null
+++ b/ivymux/switchboard/pages.py
@@ -0,0 +1,50 @@
+"""The door's own pages: whether it takes clients, and its figures."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from ivymux.door.front import Answer, BadRequest, Call, Headers
+from ivymux.switchboard.front import REASONS
+
+READINESS = b"/readiness"
+METRICS = b"/metrics"
+
+Page = Callable[[], Answer]
+
+
+class PagesFront:
+    """A front whose requests are all answered by the door itself, by their path."""
+
+    half_close = False
+    close_refused = False
+    head_status = 431
+    most_unread = 10
+    most_body = 1024
+
+    def __init__(self, pages: Mapping[bytes, Page]) -> None:
+        self.pages = pages
+
+    def local(self, target: bytes) -> Answer | None:
+        page = self.pages.get(target.partition(b"?")[0])
+        return page() if page is not None else Answer(404)
+
+    def take(
+        self, method: bytes, target: bytes, headers: Headers, body: list[bytes], began: float, peer: str
+    ) -> Call | Answer:
+        raise BadRequest("nothing else here", 404)
+
+    def refusal(self, error: BadRequest) -> Answer:
+        return Answer(error.status)
+
+    def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
+        end = b"connection: close\r\n" if close else b""
+        reason = REASONS.get(answer.status, "Answer").encode()
+        return b"HTTP/1.1 %d %s\r\ncontent-length: %d\r\n%s\r\n%s" % (
+            answer.status, reason, len(answer.body), end, answer.body
+        )  # fmt: skip
+
+
+def metrics_text(figures: Mapping[str, float]) -> bytes:
+    """One figure a line, `ivymux_proxy_NAME VALUE`, as scrapers of plain text read them."""
+    return "".join(f"ivymux_proxy_{name} {value:.10g}\n" for name, value in figures.items()).encode()
--- a/ivymux/switchboard/program.py
+++ b/ivymux/switchboard/program.py
@@ -10,6 +10,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
+from ivymux.door.front import Answer
 from ivymux.door.limits import Address, Bounds, ConfigError, parse_address
 from ivymux.door.server import Server
 from ivymux.door.upstream import Upstream
@@ -22,9 +23,10 @@
 from ivymux.switchboard.counter import HeldCounter
 from ivymux.switchboard.counts import Counts
 from ivymux.switchboard.doubts import Doubts, WatchedHost
-from ivymux.switchboard.front import ReadyFront, SystemFront
+from ivymux.switchboard.front import SystemFront
 from ivymux.switchboard.holders import Holders
 from ivymux.switchboard.module import CONNECT_TIMEOUT, COUNTER_TIMEOUT, module_settings
+from ivymux.switchboard.pages import METRICS, READINESS, PagesFront, metrics_text
 from ivymux.switchboard.roll import LOST, OFF, UP, Backend, DoorPlace, Roll, RollError
 from ivymux.switchboard.style import style
 from ivymux.switchboard.tables import Tables
@@ -188,9 +190,14 @@
         self.server = Server(self.front, settings.listen["front_addr"], bounds, self.host)
         front = settings.listen["front_addr"]
         self.server.waiting = fitting(waiting, front.host, front.port)
+        own_bounds = Bounds(64, 8, 0, 1 << 16)
         self.ready_server = Server(
-            ReadyFront(self.ready), settings.listen["ready_addr"], Bounds(64, 8, 0, 1 << 16), None
+            PagesFront({READINESS: self.readiness}), settings.listen["ready_addr"], own_bounds, None
         )
+        self.metrics_server: Server | None = None
+        if settings.metrics_port is not None:
+            address = Address(settings.ip, settings.metrics_port)
+            self.metrics_server = Server(PagesFront({METRICS: self.metrics}), address, own_bounds, None)
         self.listener = Listener(self.counter.asked)
         self.cores: dict[str, Core] = {}
         self.version, self.applied_at = -1, 0.0
@@ -203,7 +210,7 @@
         self.touch = False
         self.touched_at = math.inf  # since when it is in touch with the core
         self.known_doors: dict[str, DoorPlace] = {}  # as last heard of, in touch
-        self.told_at = self.claims_told_at = 0.0
+        self.told_at = self.claims_told_at = self.departed_told_at = 0.0
         self.taking: asyncio.Task[None] | None = None
 
     # --- readiness -------------------------------------------------------------------------------------
@@ -212,6 +219,24 @@
         applied = self.version >= 0 and time.monotonic() - self.applied_at > READY_AFTER
         return applied and not self.ending
 
+    def readiness(self) -> Answer:
+        return Answer(200 if self.ready() else 503)
+
+    def metrics(self) -> Answer:
+        host, departures = self.host, self.host.departures
+        figures: dict[str, float] = {
+            "config_version": self.version, "in_touch": self.touch, "doors": len(self.holders.came),
+            "requests_total": host.number, "requests_open": host.waiting, "requests_kept": len(host.table),
+            "clients": len(self.server.clients), "backend_connections": host.upstream.open,
+            "further_tries_spared_total": self.switch.spared,
+            "departed_requests_total": departures.requests, "departed_attempts_total": departures.attempts,
+            "departed_unwritten_total": departures.unwritten,
+            "departed_cancelled_total": departures.cancelled,
+            "departed_overran_total": departures.overran, "departed_longest_seconds": departures.longest,
+            **{f"refused_{cause}_total": count for cause, count in host.told.refusals.counts.items()},
+        }  # fmt: skip
+        return Answer(200, metrics_text(figures))
+
     def instance(self, backend: int) -> bytes:
         return self.ids.get(backend, b"gone")
 
@@ -278,6 +303,7 @@
         await self.listener.start(Address(self.settings.ip, self.settings.door_port))
         self.meet([a.host for a in self.settings.seeds])
         await self.ready_server.start()
+        await self.serve_metrics()
         # Who comes before the configuration waits for it in the system's queue: after a loss of all processes
         # it is there in a moment, and a refusal would send whole crowds round the doors again.
         self.server.open()
@@ -285,6 +311,15 @@
         self.sweep()
         log.say(f"serves on {self.server.listen.host}:{self.server.listen.port}.")
 
+    async def serve_metrics(self) -> None:
+        """Clients are served also where the port of the metrics is taken."""
+        if self.metrics_server is None:
+            return
+        try:
+            await self.metrics_server.start()
+        except OSError as error:
+            log.say(f"tells no metrics: {error.strerror}.")
+
     def take_clients(self) -> None:
         """Read what clients send, also those who came before."""
         if self.server.waiting is not None and not self.ending:
@@ -394,6 +429,10 @@
         if time.monotonic() - self.told_at > TELL and (line := self.host.told.refusals.line()):
             self.told_at = time.monotonic()
             log.say(f"{line}; further tries spared {self.switch.spared}.")
+        departed_due = time.monotonic() - self.departed_told_at > TELL
+        if departed_due and (line := self.host.departures.line()):
+            self.departed_told_at = time.monotonic()
+            log.say(f"{line}.")
         claims = self.keyed.claims if self.keyed is not None else None
         if claims is not None and time.monotonic() - self.claims_told_at > TELL and (line := claims.line()):
             self.claims_told_at = time.monotonic()
@@ -418,6 +457,8 @@
         while self.host.waiting and time.monotonic() < until:
             await asyncio.sleep(0.02)
         self.host.answer_all()
+        if line := self.host.departures.line():
+            log.say(f"{line}.")
         self.server.close()
         if self.catcher is not None:
             self.catcher.close()
@@ -430,3 +471,5 @@
         self.listener.close()
         self.host.upstream.close()
         self.ready_server.close()
+        if self.metrics_server is not None:
+            self.metrics_server.close()
--- a/tests/switchboard/test_start.py
+++ b/tests/switchboard/test_start.py
@@ -8,18 +8,21 @@
 
 import pytest
 
+from ivymux.door.front import Answer
 from ivymux.door.limits import Address, Bounds
 from ivymux.door.server import Server
 from ivymux.station.early import fitting, front
-from ivymux.switchboard.front import ReadyFront
+from ivymux.switchboard.pages import READINESS, PagesFront
 from ivymux.trunk.line import RETRY_MOST, RETRY_SOON, SOON, pause
 
 from ..sockets import run
 
+READY = PagesFront({READINESS: lambda: Answer(200)})
+
 
 def test_who_comes_before_a_door_reads_is_answered_once_it_does() -> None:
     async def test() -> None:
-        server = Server(ReadyFront(lambda: True), Address("127.0.0.1", 0), Bounds(64, 8, 0, 1 << 16), None)
+        server = Server(READY, Address("127.0.0.1", 0), Bounds(64, 8, 0, 1 << 16), None)
         server.open()
         assert server.waiting is not None
         port = server.waiting.getsockname()[1]
@@ -40,7 +43,7 @@
 
 def test_a_door_that_ends_before_it_reads_leaves_nobody_waiting() -> None:
     async def test() -> None:
-        server = Server(ReadyFront(lambda: True), Address("127.0.0.1", 0), Bounds(64, 8, 0, 1 << 16), None)
+        server = Server(READY, Address("127.0.0.1", 0), Bounds(64, 8, 0, 1 << 16), None)
         server.open()
         assert server.waiting is not None
         reader, writer = await asyncio.open_connection("127.0.0.1", server.waiting.getsockname()[1])
