A client's leave is passed on: what may be repeated ends at its backend, the rest only before it is written

Class: a cancellation that stops at a layer's boundary. Change: a front says what becomes of attempts (OnDeparture): the platform's run on as before, repeatable ones of the system and of ordinary HTTP are cancelled, others only while nothing is written. A cancelled attempt tells the module that its server is at least as slow as the client waited; else one that answers nobody would look idle once its clients have left.

--- a/ivymux/door/departures.py
+++ b/ivymux/door/departures.py
@@ -1,12 +1,30 @@
-"""Requests whose clients have left: counts since the start, for the log and the metrics.  Pure."""
+"""Requests whose clients have left before their answer: what ends with them, and counts of it.  Pure."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 BOUND = 0.5  # seconds behind its client's leaving by which work for a request should have ended
 
 
+class OnDeparture(Enum):
+    """What becomes of a request's attempts at backends once nobody waits for its answer."""
+
+    RUN_ON = "run on"  # they end by themselves and are reported, as the platform's protocol has it
+    CANCEL_UNWRITTEN = "cancel unwritten"  # those that a backend may have begun run on
+    CANCEL = "cancel"  # all end: what they do is of use to nobody
+
+    @classmethod
+    def of(cls, repeatable: bool) -> OnDeparture:
+        """A request that may not be repeated is not cut off: nobody would know whether it had run."""
+        return cls.CANCEL if repeatable else cls.CANCEL_UNWRITTEN
+
+    def cancels(self, written: bool) -> bool:
+        """Whether an attempt ends with its client, by whether any of it has been written to a backend."""
+        return self is OnDeparture.CANCEL or (self is OnDeparture.CANCEL_UNWRITTEN and not written)
+
+
 @dataclass(slots=True)
 class Departures:
     """Counts of requests that were left unanswered, and of their attempts at backends."""
--- a/ivymux/door/front.py
+++ b/ivymux/door/front.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ivymux.door.departures import OnDeparture
 from orchidhill import interface as i
 
 Headers = list[tuple[bytes, bytes]]
@@ -60,6 +61,7 @@
     claim: Claim | None = None
     hold: float = 0.0  # seconds for which it is held before the module hears of it
     lose: bool = False  # whether a backend's answer to it is not passed on
+    on_departure: OnDeparture = OnDeparture.RUN_ON
 
 
 class Front(Protocol):
--- a/ivymux/door/host.py
+++ b/ivymux/door/host.py
@@ -142,14 +142,18 @@
             self.post(request.call.make(request.number))
 
     def left(self, request: Open) -> None:
-        """The client has gone away; attempts that are out run on."""
-        if not request.settled:
-            request.left_at = time.monotonic()
-            unwritten = sum(attempt.link is None for attempt in request.out.values())
-            self.departures.left(len(request.out), unwritten)
-            self.settle(request, None)
-            self.post(i.Left(request.number))
-            self.drop(request)
+        """The client has gone away: the module hears of it first, then what need not go on is cancelled."""
+        if request.settled:
+            return
+        request.left_at = time.monotonic()
+        out = list(request.out.values())
+        self.departures.left(len(out), sum(not attempt.written for attempt in out))
+        self.settle(request, None)
+        self.post(i.Left(request.number))
+        for attempt in out:
+            if request.call.on_departure.cancels(attempt.written):
+                attempt.give_up(Outcome.CANCELLED)
+        self.drop(request)
 
     def overdue(self, request: Open) -> None:
         """Guards the rule that no request is lost: its client's time is nearly up, and nobody answered."""
--- a/ivymux/door/upstream.py
+++ b/ivymux/door/upstream.py
@@ -58,6 +58,11 @@
         self.verdict: Outcome | None = None  # why it was given up here
         self.over = False
 
+    @property
+    def written(self) -> bool:
+        """Whether a backend may have read any of it."""
+        return self.link is not None
+
     def finish(self, result: Result) -> None:
         if not self.over:
             self.over = True
--- a/ivymux/service/front.py
+++ b/ivymux/service/front.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 from urllib.parse import unquote_plus
 
+from ivymux.door.departures import OnDeparture
 from ivymux.door.front import Answer, BadRequest, Call, Headers
 from ivymux.routes import override
 from ivymux.routes.matcher import NoRoute
@@ -139,7 +140,10 @@
             )  # fmt: skip
 
         classes.hold(number)
-        return Call(b"", end, make, payload, method == b"HEAD", request_id, partial(classes.release, number))
+        return Call(
+            b"", end, make, payload, method == b"HEAD", request_id, partial(classes.release, number),
+            on_departure=OnDeparture.of(decision.effect is Effect.SAFE),
+        )  # fmt: skip
 
     def host(self, headers: Headers) -> bytes:
         found = b""
--- a/ivymux/switchboard/front.py
+++ b/ivymux/switchboard/front.py
@@ -8,6 +8,7 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from ivymux.door.departures import OnDeparture
 from ivymux.door.front import CUT, Answer, BadRequest, Call, Headers
 from ivymux.numbering.plan import Plan
 from ivymux.switchboard.tables import Tables
@@ -146,8 +147,9 @@
             )  # fmt: skip
 
         return Call(
-            b"", end, make, _no_payload, method == b"HEAD", name, to=to, claim=claim, hold=hold, lose=lose
-        )
+            b"", end, make, _no_payload, method == b"HEAD", name, to=to, claim=claim, hold=hold, lose=lose,
+            on_departure=OnDeparture.of(route.repeatable),
+        )  # fmt: skip
 
     def refusal(self, error: BadRequest) -> Answer:
         after = START if str(error) == NOT_YET else 0.2
--- a/orchidhill/switch.py
+++ b/orchidhill/switch.py
@@ -379,7 +379,11 @@
     def observe(self, server: Server, event: i.Finished, took: float, job: Job | None) -> None:
         """Learn from how an attempt ended."""
         outcome = event.outcome
-        if outcome in (Outcome.CANCELLED, Outcome.MOOT):
+        if outcome is Outcome.MOOT:
+            return
+        if outcome is Outcome.CANCELLED:
+            if job is not None and job.closed:
+                self.observe_departure(server, took / self.usual[job.req.cls])
             return
         if outcome is Outcome.OK and job is not None:
             server.answered, server.fails = self.now, 0
@@ -402,6 +406,13 @@
                 down = min(MOST_DOWN, DOWN * 2 ** min(4, server.fails - 1))
                 server.down_until = max(server.down_until, self.now + down)
 
+    def observe_departure(self, server: Server, pace: float) -> None:
+        """Its client did not wait for the answer.  The server's pace is this at least; without it one that
+        answers nobody would look idle as soon as its clients had left.
+        """
+        if pace > server.pace:
+            server.pace += SMOOTH * (min(4.0, pace) - server.pace)
+
     def further(self, job: Job, outcome: Outcome) -> None:
         """No attempt is out and none served: another server where that is allowed, else the end."""
         may = job.ran is None or job.cls.effect is Effect.SAFE
--- a/tests/service/test_front.py
+++ b/tests/service/test_front.py
@@ -315,6 +315,13 @@
     run(test())
 
 
+def reset(caller: Caller) -> None:
+    """Leave with a reset, not a close."""
+    sock = caller.writer.get_extra_info("socket")
+    sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+    caller.writer.transport.abort()
+
+
 def test_a_client_that_leaves_holds_nothing(tmp_path: Path) -> None:
     async def test() -> None:
         async with standing(tmp_path, [lambda seen: Reply(delay=0.2)]) as place:
@@ -322,9 +329,7 @@
             await caller.__aenter__()
             caller.writer.write(request("POST /write", b"x" * 1000))
             await until(lambda: place.fleet.seen)
-            sock = caller.writer.get_extra_info("socket")
-            sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
-            caller.writer.transport.abort()
+            reset(caller)
             await until(lambda: not place.door.host.table)
             assert place.door.server.held == 0 and not any(place.door.classes.held)
             assert max(place.fleet.runs.values()) == 1
@@ -332,6 +337,25 @@
     run(test())
 
 
+@pytest.mark.parametrize(("line", "ends"), [("GET /read/1", True), ("POST /write", False)])
+def test_a_read_ends_at_its_worker_as_its_client_leaves_and_a_write_does_not(
+    tmp_path: Path, line: str, ends: bool
+) -> None:
+    async def test() -> None:
+        async with standing(tmp_path, [lambda seen: Reply(delay=20.0)]) as place:
+            async with Caller(place.door) as caller:
+                caller.writer.write(request(line))
+                await until(lambda: place.fleet.seen)
+                reset(caller)  # a close alone may be the end of its sending, behind which it still reads
+            host = place.door.host
+            await until(lambda: host.departures.requests)
+            if ends:
+                await until(lambda: not host.table)
+            assert (host.departures.cancelled, len(host.table)) == ((1, 0) if ends else (0, 1))
+
+    run(test())
+
+
 def test_clients_that_do_not_read_their_answers_give_way(tmp_path: Path) -> None:
     big = answer(200, b"z" * (1 << 20))
 
--- a/tests/switchboard/test_claimed.py
+++ b/tests/switchboard/test_claimed.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+from ivymux.door.departures import OnDeparture
 from ivymux.door.front import Answer, Call
 from ivymux.door.host import Host, Open
 from ivymux.door.upstream import Result
@@ -41,7 +42,11 @@
         upstream = SimpleNamespace(style=style(1 << 20, 1 << 20), start=self.start)
         self.host = Host(cast(Any, module), cast(Any, upstream))
         self.claim, self.answers = Asks(), list[int]()
-        call = Call(b"", time.monotonic() + wait, self.made, lambda left: b"", claim=self.claim)
+        self.written = True  # whether a backend may have read of an attempt
+        call = Call(
+            b"", time.monotonic() + wait, self.made, lambda left: b"", claim=self.claim,
+            on_departure=OnDeparture.of(repeatable=False),
+        )  # fmt: skip
         self.request: Open = self.host.request(call, lambda a: self.answers.append(a.status), lambda: None)
 
     def made(self, number: int) -> i.Request:
@@ -53,7 +58,7 @@
 
     def start(self, backend: int, payload: bytes, timeout: float, done: Any, *rest: Any) -> Any:
         self.sent.append(done)
-        return SimpleNamespace(over=False, give_up=lambda why: done(Result(why, 0.0)))
+        return SimpleNamespace(over=False, written=self.written, give_up=lambda why: done(Result(why, 0.0)))
 
     def finished(self) -> list[tuple[Outcome, bool]]:
         return [(e.outcome, e.closed) for e in self.events if isinstance(e, i.Finished)]
@@ -101,6 +106,7 @@
         assert it.claim.go is not None
         it.claim.go(None)
         it.host.left(it.request)
+        assert it.host.table and not it.claim.ends  # it may have begun: it runs on
         it.sent[0](Result(Outcome.OK, 0.1, status=201, body=b"x", headers=[]))
         assert it.answers == [] and it.claim.ends == [(201, True)]
         it = Bench()
@@ -110,3 +116,17 @@
         assert it.answers == [504] and it.claim.ends == [(None, True)]
 
     asyncio.run(day())
+
+
+def test_an_action_that_was_not_written_yet_ends_with_its_client_as_not_run() -> None:
+    async def day() -> None:
+        it = Bench()
+        it.written = False
+        assert it.claim.go is not None
+        it.claim.go(None)
+        attempt = it.request.out[0]
+        attempt.give_up = lambda why: it.sent[0](Result(Outcome.MOOT, 0.0))  # type: ignore[method-assign]
+        it.host.left(it.request)
+        assert not it.host.table and it.claim.ends == [(None, False)]
+
+    asyncio.run(day())
--- a/tests/switchboard/test_switch.py
+++ b/tests/switchboard/test_switch.py
@@ -278,3 +278,30 @@
     assert sent(floor.ask()[1]) == [3]  # one good answer is no word against several doors
     floor.now += 2.0
     assert 1 in sent(floor.ask()[1]) + sent(floor.ask()[1])
+
+
+def test_a_server_that_answers_nobody_is_not_idle_because_its_clients_have_left() -> None:
+    floor = Floor()
+    chosen: Counter[int] = Counter()
+    for _ in range(200):
+        request, actions = floor.ask()
+        (server,) = sent(actions)
+        chosen[server] += 1
+        if server == 1:  # its clients wait for twice the usual time, then leave
+            floor.now += 2 * floor.switch.usual[0]
+            floor.do(i.Left(request))
+            floor.do(i.Finished(request, 0, server, Outcome.CANCELLED, True, 0.1, 0, 0, ()))
+        else:
+            floor.now += floor.switch.usual[0]
+            floor.ended(request, 0, server, Outcome.OK)
+    assert chosen[1] < min(chosen[n] for n in (2, 3, 4)) / 2
+
+
+def test_a_client_that_leaves_at_once_says_nothing_of_its_server() -> None:
+    floor = Floor()
+    request, actions = floor.ask()
+    (server,) = sent(actions)
+    floor.now += floor.switch.usual[0] / 2
+    floor.do(i.Left(request))
+    floor.do(i.Finished(request, 0, server, Outcome.CANCELLED, True, 0.01, 0, 0, ()))
+    assert floor.switch.servers[server].pace == 1.0 and not floor.switch.jobs
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from ivymux.door.departures import BOUND, Departures
+import pytest
+
+from ivymux.door.departures import BOUND, Departures, OnDeparture
 from ivymux.door.front import Answer
 from ivymux.switchboard.pages import METRICS, PagesFront, metrics_text
 
@@ -20,6 +22,20 @@
     assert departures.line() == ""
 
 
+@pytest.mark.parametrize(
+    ("what", "unwritten", "written"),
+    [
+        (OnDeparture.RUN_ON, False, False),
+        (OnDeparture.of(False), True, False),
+        (OnDeparture.of(True), True, True),
+    ],
+)
+def test_what_may_not_be_repeated_ends_with_its_client_only_before_it_is_written(
+    what: OnDeparture, unwritten: bool, written: bool
+) -> None:
+    assert (what.cancels(written=False), what.cancels(written=True)) == (unwritten, written)
+
+
 def test_metrics_are_one_figure_a_line_and_other_paths_are_not_found() -> None:
     front = PagesFront({METRICS: lambda: Answer(200, metrics_text({"clients": 3, "longest_seconds": 0.25}))})
     page = front.local(METRICS + b"?x=1")
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -183,3 +183,20 @@
             assert len(backend.seen) == 1 and list(upstream.pools) == [9]
 
     run(test())
+
+
+def test_an_attempt_given_up_while_its_connection_is_made_is_never_written() -> None:
+    async def test() -> None:
+        backend = Backend(echo)
+        async with listening(backend.handle) as dial, front_door(dial, react=send_on) as (door, _):
+            upstream = door.host.upstream
+            await until(lambda: FIRST in upstream.pools)
+            ended: list[Outcome] = []
+            attempt = upstream.start(FIRST, b"GET / HTTP/1.1\r\n\r\n", 5.0, lambda r: ended.append(r.outcome))
+            assert not attempt.written
+            attempt.give_up(Outcome.CANCELLED)
+            assert ended == [Outcome.MOOT]  # which proves that it never ran
+            await until(lambda: upstream.pools[FIRST].idle)  # the connection is there for another
+            assert not backend.seen and ended == [Outcome.MOOT]
+
+    run(test())
