--- a/ivymux/testdesk/day.py
+++ b/ivymux/testdesk/day.py
@@ -14,7 +14,11 @@
 
 MOST_LINE = 1 << 16  # bytes
 MOST_LINES = 500_000
-FORMAT = 1
+FORMAT = 2
+LEAVING = 0.2  # of the reads of a drawn day, whose clients leave
+LEAVES_AFTER = 0.1  # seconds
+SLOW_RUN = 5  # slow requests of a backend in a row
+READABLE = (1, 2)  # an older form lacks fields, which have defaults
 
 
 class DayError(ValueError):
@@ -35,6 +39,7 @@
     services: dict[str, int] = msgspec.field(default_factory=lambda: {"archive": 3, "desk": 2})
     rate: float = 500.0
     burst: float = 500.0
+    work: float = 0.0  # seconds that a backend takes for a request
 
 
 class Ask(Line, frozen=True, tag="ask"):
@@ -46,6 +51,8 @@
     path: str
     method: str = "GET"
     key: str = "key-one"
+    waits: float = 2.0  # seconds that its client waits, as it says
+    leaves: float = 0.0  # seconds after which its client leaves without a word; 0: it does not
 
 
 class Change(Line, frozen=True, tag="change"):
@@ -73,14 +80,15 @@
 
     at: float
     backend: str  # archive-0
+    stays: float = 2.6  # seconds that it serves on once its leaving was heard
 
 
 class Spoil(Line, frozen=True, tag="spoil"):
-    """A backend's next answers: lost once they have run, without a seal, or refused as it is full."""
+    """A backend's next answers: lost once they have run, without a seal, refused as it is full, or slow."""
 
     at: float
     backend: str
-    how: Literal["lost", "unsealed", "full"]
+    how: Literal["lost", "unsealed", "full", "slow"]
     count: int = 1
 
 
@@ -108,6 +116,32 @@
     tenant: str
     key: bool  # whether the client's key came along
     done: bool  # False where it was turned away
+    remaining: float = -1.0  # seconds that were left of its time, as it was told; -1: it was not
+    work: float = 0.0  # seconds that it takes there
+
+
+class Ended(Line, frozen=True, tag="ended"):
+    """A backend's work on a request ended: by itself (`whole`), or as its connection closed."""
+
+    at: float
+    id: str
+    backend: str
+    whole: bool
+
+
+class Departed(Line, frozen=True, tag="departed"):
+    """A client left before its answer."""
+
+    at: float
+    id: str
+
+
+class Ready(Line, frozen=True, tag="ready"):
+    """A door's answer to the question whether it takes clients, where it has changed."""
+
+    at: float
+    door: int
+    ready: bool
 
 
 class Told(Line, frozen=True, tag="told"):
@@ -124,6 +158,7 @@
 
     at: float
     backend: str
+    sent: float = -1.0  # when it was said first; -1: not recorded
 
 
 class Read(Line, frozen=True, tag="read"):
@@ -135,7 +170,7 @@
 
 
 Doing = Ask | Change | Kill | Start | Leave | Spoil
-Seen = Answered | Ran | Told | Left | Read
+Seen = Answered | Ran | Ended | Departed | Ready | Told | Left | Read
 LINES = msgspec.json.Decoder(Day | Doing | Seen)
 DOING = (Ask, Change, Kill, Start, Leave, Spoil)
 
@@ -167,7 +202,7 @@
             seen.append(found)
     if day is None:
         raise DayError("an empty file; write one with --make")
-    if day.v != FORMAT:
+    if day.v not in READABLE:
         raise DayError(f"line 1: v is {day.v}; this program reads {FORMAT}")
     for number, event in enumerate(doing, 2):
         fits(day, event, number)
@@ -234,4 +269,18 @@
     for part in (0.15, 0.45, 0.75):
         how: list[Literal["lost", "unsealed", "full"]] = ["lost", "unsealed", "full"]
         doing.append(Spoil(round(seconds * part, 3), f"desk-{draws.randrange(2)}", draws.choice(how), 3))
-    return day, sorted(doing, key=lambda e: e.at)
+    return day, sorted(with_departures(seed, seconds, doing), key=lambda e: e.at)
+
+
+def with_departures(seed: int, seconds: float, doing: list[Doing]) -> list[Doing]:
+    """The same with backends that are slow for a while, and with clients that leave their reads."""
+    draws = random.Random(f"departures {seed}")
+    made: list[Doing] = [
+        msgspec.structs.replace(event, leaves=LEAVES_AFTER)
+        if isinstance(event, Ask) and event.path.startswith("/read/") and draws.random() < LEAVING
+        else event
+        for event in doing
+    ]
+    for part in (0.2, 0.4, 0.65):
+        made.append(Spoil(round(seconds * part, 3), f"archive-{draws.randrange(2)}", "slow", SLOW_RUN))
+    return made
--- a/ivymux/testdesk/lab.py
+++ b/ivymux/testdesk/lab.py
@@ -21,6 +21,7 @@
 
 ROOT = Path(__file__).parent.parent.parent
 BEAT = 0.4  # seconds between the backends' calls here
+ENTRY = ("-m", "ivymux")
 LINGER = 1.0  # seconds for which a backend that leaves serves on
 
 
@@ -42,8 +43,9 @@
 
 
 class Lab:
-    def __init__(self, folder: Path, cores: int = 3, doors: int = 2) -> None:
-        self.folder = folder
+    def __init__(self, folder: Path, cores: int = 3, doors: int = 2, entry: tuple[str, ...] = ENTRY) -> None:
+        """`entry`: what starts a program, given its role and settings."""
+        self.folder, self.entry = folder, entry
         net = f"127.{40 + os.getpid() % 200}.{(os.getpid() // 200) % 250}"
         self.cores = [f"{net}.{n}" for n in range(1, cores + 1)]
         self.doors = [f"{net}.{n}" for n in range(101, 101 + doors)]
@@ -84,7 +86,7 @@
         roles = ("directory", "config_store") if ip in self.cores else ("switchboard",)
         self.machines[ip] = [
             await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "ivymux", role, "--settings", str(path), cwd=ROOT,
+                sys.executable, *self.entry, role, "--settings", str(path), cwd=ROOT,
                 stdout=self.logs, stderr=self.logs,
             )
             for role in roles
@@ -243,9 +245,11 @@
 
 
 @contextlib.asynccontextmanager
-async def lab(folder: Path, cores: int = 3, doors: int = 2, most: float = 50.0) -> AsyncIterator[Lab]:
+async def lab(
+    folder: Path, cores: int = 3, doors: int = 2, most: float = 50.0, entry: tuple[str, ...] = ENTRY
+) -> AsyncIterator[Lab]:
     """Machines that are ended behind it; `most` seconds, for one that hangs."""
-    made = Lab(folder, cores, doors)
+    made = Lab(folder, cores, doors, entry)
     try:
         async with asyncio.timeout(most):
             yield made
--- a/ivymux/testdesk/replay.py
+++ b/ivymux/testdesk/replay.py
@@ -24,25 +24,65 @@
     Change,
     Day,
     DayError,
+    Departed,
     Doing,
+    Ended,
     Kill,
     Leave,
     Left,
     Ran,
     Read,
+    Ready,
     Seen,
     Spoil,
     Start,
     Told,
 )  # fmt: skip
-from ivymux.testdesk.lab import Lab, document, lab
+from ivymux.testdesk.lab import ENTRY, Lab, document, lab
 from ivymux.testdesk.rules import Breach, check
 from standins import backend as standin
 
 FIRST = 1  # version of the configuration that holds when a day begins
 QUIET = 2.5  # seconds after the last event for answers that are on their way
-STAYS = 2.6  # seconds that a backend serves on once its leaving was heard
 MOST_BODY = 500
+SLOW_WORK = 1.5  # seconds that a slow backend takes for a request
+LOOK = 0.5  # seconds between questions whether a door takes clients
+
+
+class HistoryWatcher(standin.Watcher):
+    """Writes down what one backend sees, and how its next requests are spoilt."""
+
+    def __init__(self, player: Player, name: str, service: str) -> None:
+        self.player, self.name, self.service = player, name, service
+        self.waiting: list[str] = []
+        self.spoilt: dict[str, str] = {}  # how, by request
+
+    def arrived(self, ran: standin.Ran) -> float:
+        how = self.waiting.pop(0) if self.waiting else ""
+        self.spoilt[ran.id] = how
+        slow = SLOW_WORK if how == "slow" else 0.0
+        remaining = ran.headers.get("time-remaining")
+        self.player.seen.append(
+            Ran(
+                self.player.now(), ran.id, self.service, self.name, ran.method, ran.target,
+                ran.headers.get("tenant-name", ""), "authorization" in ran.headers, how != "full",
+                int(remaining) / 1000 if remaining else -1.0, self.player.day.work + slow,
+            )
+        )  # fmt: skip
+        return slow
+
+    def ended(self, ran: standin.Ran, whole: bool) -> None:
+        self.player.seen.append(Ended(self.player.now(), ran.id, self.name, whole))
+
+    def plan(self, ran: standin.Ran) -> bytes | None:
+        how = self.spoilt.pop(ran.id, "")
+        if how == "lost":
+            return standin.CLOSE
+        if how == "unsealed":
+            return standin.Backend.whole(200, ran.id, b"no seal")
+        if how == "full":
+            return standin.Backend.whole(503, ran.id, more="Not-Executed: 1\r\n")
+        return None
 
 
 class Player:
@@ -55,7 +95,7 @@
         self.seen: list[Seen] = []
         self.backends: dict[str, standin.Backend] = {}
         self.texts: dict[int, bytes] = {}
-        self.spoils: dict[str, list[str]] = {}
+        self.watchers: dict[str, HistoryWatcher] = {}
 
     def now(self) -> float:
         return round(self.loop.time() - self.began, 4)
@@ -77,9 +117,12 @@
         self.seen.clear()
         self.began = self.loop.time()
         self.seen.append(Told(0.0, 0.0, FIRST, 200))
+        looking = [self.loop.create_task(self.look(door)) for door in range(len(self.lab.doors))]
         tasks = [self.loop.create_task(self.do_at(event)) for event in self.doing]
         await asyncio.gather(*tasks)
         await self.read()
+        for task in looking:
+            task.cancel()
         return self.seen
 
     async def do_at(self, event: Doing) -> None:
@@ -98,20 +141,38 @@
             case Start():
                 await self.lab.start(self.address(event.machine))
             case Leave():
-                await self.leave(event.backend)
+                await self.leave(event.backend, event.stays)
             case Spoil():
-                self.spoils.setdefault(event.backend, []).extend([event.how] * event.count)
+                self.watchers[event.backend].waiting.extend([event.how] * event.count)
 
     def address(self, machine: str) -> str:
         kind, _, number = machine.partition("-")
         return (self.lab.cores if kind == "core" else self.lab.doors)[int(number)]
 
+    async def look(self, door: int) -> None:
+        """Ask a door again and again whether it takes clients; what has changed is written down."""
+        was = None
+        while True:
+            ready = await self.lab.ready(self.lab.doors[door])
+            if ready is not was:
+                was = ready
+                self.seen.append(Ready(self.now(), door, ready))
+            await asyncio.sleep(LOOK)
+
     # --- clients ------------------------------------------------------------
 
     async def ask(self, event: Ask) -> None:
         sent = self.now()
         door = self.lab.doors[event.door]
-        answer = await self.lab.ask(door, event.method, event.path, event.key, Try_Id=event.id)
+        asking = self.lab.ask(
+            door, event.method, event.path, event.key, Try_Id=event.id,
+            Time_Remaining=str(round(event.waits * 1000)),
+        )  # fmt: skip
+        try:
+            answer = await (asyncio.wait_for(asking, event.leaves) if event.leaves else asking)
+        except TimeoutError:
+            self.seen.append(Departed(self.now(), event.id))
+            return
         if answer is None:
             self.seen.append(Answered(self.now(), sent, event.id, 0))
             return
@@ -144,30 +205,16 @@
 
     async def raise_backend(self, name: str, service: str) -> None:
         made = self.backends[name] = await self.lab.backend(name, service)
+        made.work = self.day.work
+        watcher = self.watchers[name] = HistoryWatcher(self, name, service)
+        made.watcher, made.plan = watcher, watcher.plan
 
-        def plan(ran: standin.Ran) -> bytes | None:
-            waiting = self.spoils.get(name)
-            how = waiting.pop(0) if waiting else ""
-            done = how != "full"
-            self.seen.append(
-                Ran(
-                    self.now(), ran.id, service, name, ran.method, ran.target,
-                    ran.headers.get("tenant-name", ""), "authorization" in ran.headers, done,
-                )
-            )  # fmt: skip
-            if how == "lost":
-                return standin.CLOSE
-            if how == "unsealed":
-                return made.whole(200, ran.id, b"no seal")
-            return None if done else made.whole(503, ran.id, more="Not-Executed: 1\r\n")
-
-        made.plan = plan
-
-    async def leave(self, name: str) -> None:
+    async def leave(self, name: str, stays: float) -> None:
         self.lab.beating[name].cancel()
+        sent = self.now()
         await self.lab.say(self.backends[name], "quiescing")
-        self.seen.append(Left(self.now(), name))
-        await asyncio.sleep(STAYS)
+        self.seen.append(Left(self.now(), name, sent))
+        await asyncio.sleep(stays)
         for ip in self.lab.cores:
             if (await self.lab.call("DELETE", ip, f"/instances/{name}"))[0] == 200:
                 break
@@ -178,10 +225,12 @@
     return {"read": "archive", "sign": "desk"}
 
 
-async def played(day: Day, doing: Sequence[Doing], folder: Path) -> list[Seen]:
+async def played(
+    day: Day, doing: Sequence[Doing], folder: Path, entry: tuple[str, ...] = ENTRY
+) -> list[Seen]:
     """What was seen on a day.  Raises AssertionError with the processes' log where it hangs."""
     longest = max((event.at for event in doing), default=0.0)
-    async with lab(folder, day.cores, day.doors, most=longest + 60.0) as made:
+    async with lab(folder, day.cores, day.doors, most=longest + 60.0, entry=entry) as made:
         return await Player(day, doing, made).play()
 
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -21,6 +21,17 @@
     by: str
 
 
+class Watcher:
+    """Hears of each request at a backend; this one does nothing."""
+
+    def arrived(self, ran: Ran) -> float:
+        """A request is there; the seconds that it takes beyond `work`."""
+        return 0.0
+
+    def ended(self, ran: Ran, whole: bool) -> None:
+        """Its work is over: by itself (`whole`), or as its connection closed."""
+
+
 @dataclass
 class Backend:
     """One life of a backend.  `plan` gives the bytes that answer a request; None: an ordinary answer."""
@@ -32,6 +43,7 @@
     plan: Callable[[Ran], bytes | None] = lambda ran: None
     gate: asyncio.Event | None = None  # an answer waits for it
     work: float = 0.0  # seconds that a request takes
+    watcher: Watcher = field(default_factory=Watcher)
     ran: list[Ran] = field(default_factory=list)
     finished: list[str] = field(default_factory=list)  # ids of requests that were worked on to their end
     dropped: list[str] = field(default_factory=list)  # and of those whose connection closed meanwhile
@@ -80,11 +92,14 @@
                     writer.write(self.whole(421, ran.id, more=f"Instance-Id: {self.instance}\r\n"))
                     continue
                 self.ran.append(ran)
-                if self.work or self.gate is not None:
-                    closed, early = await self.works_until_closed(reader)
+                work = self.work + self.watcher.arrived(ran)
+                if work or self.gate is not None:
+                    closed, early = await self.works_until_closed(reader, work)
                     (self.dropped if closed else self.finished).append(ran.id)
                     if closed:
+                        self.watcher.ended(ran, whole=False)
                         break
+                self.watcher.ended(ran, whole=True)
                 data = self.plan(ran)
                 writer.write(self.answer(ran) if data is None else data.removesuffix(CLOSE))
                 if data is not None and data.endswith(CLOSE):
@@ -95,15 +110,15 @@
             self.open.discard(writer)
             writer.close()
 
-    async def works(self) -> None:
-        if self.work:
-            await asyncio.sleep(self.work)
+    async def works(self, seconds: float) -> None:
+        if seconds:
+            await asyncio.sleep(seconds)
         if self.gate is not None:
             await self.gate.wait()
 
-    async def works_until_closed(self, reader: asyncio.StreamReader) -> tuple[bool, bytes]:
+    async def works_until_closed(self, reader: asyncio.StreamReader, seconds: float) -> tuple[bool, bytes]:
         """Work on a request; whether its connection closed before the end, else what came behind it."""
-        working = asyncio.ensure_future(self.works())
+        working = asyncio.ensure_future(self.works(seconds))
         reading = asyncio.ensure_future(reader.read(1))
         await asyncio.wait({working, reading}, return_when=asyncio.FIRST_COMPLETED)
         if reading.done():
--- /dev/null
+++ b/tests/testdesk/faulty.py
@@ -0,0 +1,189 @@
+"""Starts a program with a seeded fault: `python -m tests.testdesk.faulty FAULT ROLE --settings FILE`.
+
+Each fault is one that a change of the code could bring, and breaks a rule that a checker looks at.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from typing import Any
+
+from ivymux.door.departures import OnDeparture
+from ivymux.door.front import Answer, BadRequest
+from ivymux.door.host import Host
+from ivymux.door.upstream import Attempt
+from ivymux.switchboard.front import SystemFront
+from ivymux.switchboard.program import Door
+from ivymux.switchboard.style import SystemStyle
+from orchidhill import interface as i
+from orchidhill.interface import Outcome, State
+from orchidhill.switch import Switch
+
+
+def swap(owner: Any, name: str, part: Any) -> None:
+    setattr(owner, name, part)
+
+
+def leave_not_passed_on() -> None:
+    swap(OnDeparture, "of", lambda repeatable: OnDeparture.RUN_ON)
+
+
+def action_sent_again() -> None:
+    true = Switch.further
+
+    def further(self: Switch, job: Any, outcome: Outcome) -> None:
+        job.ran = None
+        for service in self.services.values():
+            service.tries = 100.0
+        true(self, job, outcome)
+
+    swap(Switch, "further", further)
+
+
+def failure_promised() -> None:
+    swap(SystemStyle, "failed", lambda self, last: 503)
+
+
+def seal_not_looked_at() -> None:
+    swap(SystemStyle, "sound", lambda self, status, headers: True)
+
+
+def payloads(change: Callable[[bytes], bytes], extra: float = 0.0) -> None:
+    """What goes to backends is changed."""
+    true = SystemFront.take
+
+    def take(self: SystemFront, *args: Any) -> Any:
+        call = true(self, *args)
+        if not isinstance(call, Answer) and (to := call.to) is not None:
+            call.to = lambda left, backend: change(to(left + extra, backend))
+        return call
+
+    swap(SystemFront, "take", take)
+
+
+def key_passed_on() -> None:
+    payloads(
+        lambda data: data.replace(b"\r\nTenant-Name", b"\r\nAuthorization: Bearer key-one\r\nTenant-Name")
+    )
+
+
+def path_changed() -> None:
+    payloads(lambda data: data.replace(b" /read/", b" /read//", 1))
+
+
+def more_time_handed_on() -> None:
+    payloads(lambda data: data, extra=5.0)
+
+
+def proper_requests_denied() -> None:
+    true, count = SystemFront.take, [0]
+
+    def take(self: SystemFront, *args: Any) -> Any:
+        count[0] += 1
+        if count[0] % 5 == 0:
+            raise BadRequest("no route", 404)
+        return true(self, *args)
+
+    swap(SystemFront, "take", take)
+
+
+def kind_not_served() -> None:
+    true = SystemFront.take
+
+    def take(self: SystemFront, method: bytes, target: bytes, *args: Any) -> Any:
+        if target.startswith(b"/sign/"):
+            raise BadRequest("not now", 503)
+        return true(self, method, target, *args)
+
+    swap(SystemFront, "take", take)
+
+
+def configuration_not_applied() -> None:
+    true = Door.apply
+
+    def apply(self: Door, version: int, text: str) -> None:
+        if self.version < 0:
+            true(self, version, text)
+
+    swap(Door, "apply", apply)
+
+
+def configuration_reverted() -> None:
+    true, first = Door.apply, list[Any]()
+
+    def apply(self: Door, version: int, text: str) -> None:
+        true(self, version, text)
+        first.append(self.front.plan)
+        if len(first) == 2:  # the newer one holds for a second
+            self.loop.call_later(1.0, self.front.use, first[0])
+
+    swap(Door, "apply", apply)
+
+
+def drain_not_heard() -> None:
+    true = Switch.on_members
+
+    def on_members(self: Switch, event: i.Members) -> None:
+        entries = tuple(replace(entry, state=State.READY) for entry in event.entries)
+        true(self, replace(event, entries=entries))
+
+    swap(Switch, "on_members", on_members)
+
+
+def quota_not_held() -> None:
+    true = Switch.on_plans
+    swap(Switch, "on_plans", lambda self, plans: true(self, tuple(replace(p, rate=0.0) for p in plans)))
+
+
+def no_limit_of_attempts() -> None:
+    true = Switch.further
+
+    def further(self: Switch, job: Any, outcome: Outcome) -> None:
+        job.req.most = 6
+        for service in self.services.values():
+            service.tries = 100.0
+        true(self, job, outcome)
+
+    swap(Switch, "further", further)
+
+
+def deadline_not_kept() -> None:
+    swap(Host, "overdue", lambda self, request: None)
+    true = Attempt.give_up
+
+    def give_up(self: Attempt, why: Outcome) -> None:
+        if why is not Outcome.TIMEOUT:
+            true(self, why)
+
+    swap(Attempt, "give_up", give_up)
+
+
+def end_cuts_requests() -> None:
+    async def stop(self: Door) -> None:
+        for client in list(self.server.clients):
+            client.abort()
+
+    swap(Door, "stop", stop)
+
+
+def no_fault() -> None:
+    pass
+
+
+FAULTS = {fault.__name__: fault for fault in (
+    no_fault, leave_not_passed_on, action_sent_again, failure_promised, seal_not_looked_at, key_passed_on,
+    path_changed, more_time_handed_on, proper_requests_denied, kind_not_served, configuration_not_applied,
+    configuration_reverted, drain_not_heard, quota_not_held, no_limit_of_attempts, deadline_not_kept,
+    end_cuts_requests,
+)}  # fmt: skip
+
+
+if __name__ == "__main__":
+    from ivymux.station.program import main
+
+    fault, role = sys.argv[1], sys.argv[2]
+    if role == "switchboard":
+        FAULTS[fault]()
+    sys.exit(main(role, sys.argv[3:], None))
