Elections: a backup whose disk hangs while its process is well is replaced

Cause: what the backup is heard of by, heartbeats and lease grants, rests on no disk; changes waited for its disk without end. Ruled out: counting its answers to writes as its only sign of life (a quiet hour has none). Model: losses.hanging_backup (then a lost disk of each role), hanging_disks; bench.control plays the first.

--- a/bench/control.py
+++ b/bench/control.py
@@ -1,4 +1,4 @@
-"""The control side at many seeds: departures, two operators, slow disks; how long planned ends take.
+"""The control side at many seeds: departures, two operators, slow and hanging disks; how long ends take.
 
     python -m bench.control [--quick] [--runs N] [--jobs N] [--json FILE|-]
 
@@ -19,6 +19,7 @@
     ROLES,
     SYNC_TIME,
     departure,
+    hanging_backup,
     planned_end,
     slow_repair,
     two_operators,
@@ -34,6 +35,7 @@
     "departure": departure,
     "two operators": two_operators,
     "slow repair": slow_repair,
+    "hanging backup": lambda *case: hanging_backup(*case)[0],
 }
 
 
@@ -46,6 +48,7 @@
         role, victim = pairs[seed // len(DELAYS) % len(pairs)]
         made.append(("departure", (seed, count, role, victim, delay)))
         made.append(("two operators", (seed, count, delay / 60)))  # around the time that a change takes
+        made.append(("hanging backup", (seed, count, delay, victim)))
         made.append(("slow repair", (seed, count, COMMITS[seed // len(DELAYS) % 2], SYNC_TIME + delay)))
     return made
 
@@ -63,6 +66,10 @@
     return planned_end(*case)
 
 
+def hang(case: tuple[int, int, float]) -> float:
+    return hanging_backup(*case)[1]
+
+
 def main() -> None:
     arguments = parser("control")
     arguments.add_argument("--runs", type=int, default=0)
@@ -79,6 +86,8 @@
             played = sum(case[0] == kind for case in wanted)
             figures[f"{kind}: runs in 3, 4 and 5 machines, none broken"] = figure([played], "runs")
         ends = QUICK if args.quick else ENDS
+        waits = pool.map(hang, [(seed, COUNTS[seed % 3], 0.0) for seed in range(ends)])
+        figures["a change while the backup's disk hangs"] = figure(waits, "s")
         for role in ROLES:
             took = pool.map(end, [(seed, COUNTS[seed % 3], role) for seed in range(ends)])
             figures[f"planned end of the {role}, until its process ends"] = figure([t for t, _ in took], "s")
--- a/ivymux/config_store/changes.py
+++ b/ivymux/config_store/changes.py
@@ -29,6 +29,7 @@
     digest: str
     calls: list[int]
     sent_at: float = 0.0
+    written_at: float = 0.0  # first, under the epoch in force
     on_own_disk: bool = False
     on_backup: bool = False
 
@@ -88,6 +89,7 @@
         """Write a change to both disks of the pair."""
         assert self.leading is not None
         change.on_own_disk = change.on_backup = False
+        change.written_at = self.now
         self.send_write(change)
         state = ConfigurationState(self.leading.number, change.version, change.text)
         self.actions.append(Persist(state=state, change=(change.version, change.digest)))
@@ -115,6 +117,13 @@
         for change in self.pending:
             self.write(change)
 
+    def waits_for_backup_since(self) -> float:
+        """When the oldest of what is on this machine's disk alone was written; infinite where nothing is."""
+        changes = [
+            change.written_at for change in self.pending if change.on_own_disk and not change.on_backup
+        ]
+        return min([*changes, self.tickets.waits_for_backup_since()])
+
     def on_write_stored(self, source: str, message: WriteStored) -> None:
         self.heard[message.sender] = self.now
         if self.leading is None or message.epoch != self.leading.number or not self.is_writable():
--- a/ivymux/config_store/elections.py
+++ b/ivymux/config_store/elections.py
@@ -224,7 +224,7 @@
         members = self.following_members(previous, set(attempt.promises))
         partner = previous.backup if previous.primary == self.me else previous.primary
         able = [member for member in members if member in attempt.promises]
-        backup = choose_backup(previous, self.me, able, self.leavers(), partner)
+        backup = choose_backup(previous, self.me, able, self.unfit_backups(), partner)
         if backup is None or (not founding and self.better_may_come(attempt, backup, partner)):
             return
         attempt.previous = previous
@@ -237,9 +237,9 @@
 
     def better_may_come(self, attempt: Attempt, backup: str, partner: str) -> bool:
         """Whether the promise of a better backup may be on its way."""
-        leavers = self.leavers()
-        partner_may = partner not in attempt.promises and partner not in leavers
-        return (partner_may or backup in leavers) and self.now - attempt.began < RETRY / 3
+        unfit = self.unfit_backups()
+        partner_may = partner not in attempt.promises and partner not in unfit
+        return (partner_may or backup in unfit) and self.now - attempt.began < RETRY / 3
 
     def following_members(self, record: EpochRecord, present: set[str]) -> tuple[str, ...]:
         """The members of the epoch behind one, as far as can be told now."""
--- a/ivymux/config_store/idempotency.py
+++ b/ivymux/config_store/idempotency.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from typing import Any, Protocol
@@ -96,6 +97,7 @@
     ticket: Ticket
     calls: list[int]
     sent_at: float
+    written_at: float
     on_own_disk: bool = False
     on_backup: bool = False
 
@@ -216,7 +218,7 @@
         self.last_number = max(self.last_number, replica.leading.number * NUMBERS_IN_EPOCH) + 1
         made = replace(ticket, number=self.last_number)
         self.book.take(made, replica.now)
-        self.unstored[made.number] = UnstoredTicket(made, [call], replica.now)
+        self.unstored[made.number] = UnstoredTicket(made, [call], replica.now, replica.now)
         self.send_ticket(made)
         replica.actions.append(Persist(tickets=((made.key, made),)))
         replica.send(address_of(replica.me), TicketStored(replica.me, replica.leading.number, made.number))
@@ -233,6 +235,11 @@
         assert record is not None
         return record.number, address_of(record.backup)
 
+    def waits_for_backup_since(self) -> float:
+        """When the oldest of what is on the primary's disk alone was written; infinite where nothing is."""
+        alone = [u.written_at for u in self.unstored.values() if u.on_own_disk and not u.on_backup]
+        return min(alone, default=math.inf)
+
     def on_ticket_stored(self, source: str, message: TicketStored) -> None:
         replica = self.replica
         replica.heard[message.sender] = replica.now
--- a/ivymux/config_store/leadership.py
+++ b/ivymux/config_store/leadership.py
@@ -18,6 +18,8 @@
 from ivymux.config_store.timing import (
     BACKUP_SILENCE,
     DEFERENCE,
+    DISK_DISTRUST,
+    DISK_PATIENCE,
     DRAIN,
     FULL_RENEWAL,
     LEASE,
@@ -100,6 +102,9 @@
         elif self.now - self.heard.get(record.backup, self.now) > BACKUP_SILENCE:
             if is_majority(record.members, present):
                 self.begin("the backup is silent")
+        elif self.may_replace_hanging_backup(record, present):
+            self.distrusted[record.backup] = self.now + DISK_DISTRUST
+            self.begin("the backup's disk does not answer")
         elif record.backup in leavers and staying - {self.me, record.backup}:
             self.begin("the backup leaves")
         elif self.leaving_since is not None:
@@ -107,6 +112,16 @@
         elif self.following_members(record, present) != record.members:
             self.begin("the members change")
 
+    def may_replace_hanging_backup(self, record: EpochRecord, present: set[str]) -> bool:
+        """Whether what waits for the backup's disk has waited for long, and another may do better.
+
+        The backup's process may be well: its heartbeats and lease grants rest on no disk.
+        """
+        if self.now - self.waits_for_backup_since() <= DISK_PATIENCE:
+            return False
+        others = (present & set(record.members)) - {self.me, record.backup}
+        return bool(others - self.unfit_backups()) and is_majority(record.members, {self.me} | others)
+
     # --- leases ----------------------------------------------------------------------------------------
 
     def on_lease_request(self, source: str, message: LeaseRequest) -> None:
--- a/ivymux/config_store/membership.py
+++ b/ivymux/config_store/membership.py
@@ -40,10 +40,10 @@
 
 
 def choose_backup(
-    record: EpochRecord, me: str, able: Iterable[str], leaving: Iterable[str], partner: str
+    record: EpochRecord, me: str, able: Iterable[str], unfit: Iterable[str], partner: str
 ) -> str | None:
-    """Who keeps the second copy: the one that has it, then a member, then a joiner; who leaves comes last."""
-    last = set(leaving)
+    """Who keeps the second copy: the one that has it, then a member, then a joiner; the unfit last."""
+    last = set(unfit)
     return min(
         (member for member in able if member != me),
         key=lambda m: (m in last, m != partner, m not in record.members, address_of(m)),
--- a/ivymux/config_store/replica_state.py
+++ b/ivymux/config_store/replica_state.py
@@ -58,6 +58,7 @@
         self.heard: dict[str, float] = {}  # when each member last answered
         self.joining: dict[str, float] = {}  # who would be a member, and when it last said so
         self.leaving: dict[str, float] = {}  # who said that it ends, and when it last did
+        self.distrusted: dict[str, float] = {}  # whose disk did not answer, and until when that counts
         self.served_at = now  # when a majority was last known to stand by this primary
         self.leaving_since: float | None = None  # this machine's own process is to end
         # As a member.
@@ -105,6 +106,10 @@
         """Who is about to end: they say so again and again, and one that does no more has ended."""
         return {member for member, at in self.leaving.items() if self.now - at < BACKUP_SILENCE}
 
+    def unfit_backups(self) -> set[str]:
+        """Who is made the backup only where nobody else can be: it leaves, or its disk did not answer."""
+        return self.leavers() | {member for member, until in self.distrusted.items() if self.now < until}
+
     def is_founding(self) -> bool:
         """Whether this machine is one of those of the system's very first start, with no epoch yet."""
         return self.record is not None and self.record.number == 0 and self.me in self.record.members
--- a/ivymux/testdesk/losses.py
+++ b/ivymux/testdesk/losses.py
@@ -17,6 +17,8 @@
 SYNC_TIME = 4.0  # seconds after which the operators count a machine as back
 DOWN = 0.6  # seconds for which machines are without power
 WATCHED = 10.0  # seconds for which a core is watched once all machines are up
+HANGS = 30.0  # seconds of a commit on a disk that hangs
+PATIENT = 3.0  # seconds that a change may wait where one disk hangs
 LED_SHARE = 0.95  # of these, with a leader
 RECOVERY = 15.0  # seconds within which the operators want service after a loss
 
@@ -185,3 +187,53 @@
     if not ended:
         raise Broken(f"a {role} that was told to end is there after 2 s")
     return ended, longest
+
+
+def hanging_backup(
+    seed: int, count: int, delay: float, victim: str = PRIMARY, make: Make = Replica
+) -> tuple[Cores, float]:
+    """The backup's disk hangs while its process is well; a while later a machine loses its disk.
+
+    `delay`: seconds from the change that waits for the backup until it is started anew, `victim`: the role of
+    the machine that is lost once it is back.  Also the seconds that the change waited.  Raises Broken.
+    """
+    cores = started(seed, count, 0, make)
+    stuck = holding(cores, BACKUP)
+    cores.run(cores.random.uniform(0.0, 1.0))
+    cores.machines[stuck].disk.slow = HANGS
+    waited = change(cores, 2)
+    if waited > PATIENT:
+        raise Broken(f"a change waited {waited:.1f} s for a backup whose disk hangs")
+    if holding(cores, BACKUP) == stuck:
+        raise Broken(f"{stuck} is the backup on")
+    cores.run(delay)
+    lost = holding(cores, victim, seed)
+    cores.machines[stuck].disk.slow = cores.machines[lost].disk.slow  # else two would be lost at once
+    cores.kill(stuck)
+    cores.start(stuck)
+    cores.run(SYNC_TIME)
+    cores.wipe(lost)
+    cores.run(DOWN)
+    cores.start(lost)
+    cores.settle(RECOVERY)
+    cores.read_all()
+    return cores, waited
+
+
+def hanging_disks(seed: int, count: int, make: Make = Replica) -> int:
+    """All disks but the primary's hang for a while: epochs that were tried meanwhile.  Raises Broken."""
+    cores = started(seed, count, 0, make)
+    leader = holding(cores, PRIMARY)
+    others = [machine for machine in cores.machines if machine != leader]
+    for machine in others:
+        cores.machines[machine].disk.slow = HANGS
+    began = len(cores.log)
+    cores.put(leader, 2, "v2")
+    cores.run(HANGS)
+    tried = sum("tries epoch" in line for line in cores.log[began:])
+    for machine in others:
+        cores.machines[machine].disk.slow = 0.008
+    cores.run(HANGS)
+    change(cores, 3, RECOVERY)
+    cores.read_all()
+    return tried
--- a/tests/config_store/test_losses.py
+++ b/tests/config_store/test_losses.py
@@ -24,12 +24,15 @@
     WITNESS,
     change,
     departure,
+    hanging_backup,
+    hanging_disks,
     holding,
     slow_repair,
     started,
 )
 
 DELAYS = (0.0, 0.5, 1.0, 3.0)
+MOST_TRIED = 6  # epochs in 30 s
 
 
 @pytest.mark.parametrize("count", [3, 4, 5])
@@ -45,6 +48,19 @@
         slow_repair(seed, 3, commit_s)
 
 
+@pytest.mark.parametrize("count", [3, 4, 5])
+@pytest.mark.parametrize("victim", ROLES)
+def test_a_backup_whose_disk_hangs_is_replaced_and_then_a_disk_is_lost(count: int, victim: str) -> None:
+    for delay, seed in itertools.product(DELAYS, range(3)):
+        hanging_backup(seed, count, delay, victim)
+
+
+@pytest.mark.parametrize("count", [3, 4])
+def test_where_all_other_disks_hang_no_epoch_after_the_other_is_tried(count: int) -> None:
+    for seed in range(3):
+        assert hanging_disks(seed, count) <= MOST_TRIED
+
+
 @pytest.mark.parametrize("role", ROLES)
 def test_a_planned_end_leaves_no_change_unanswered_for_half_a_second(role: str) -> None:
     for seed in range(10):
