Answers: one that names two requests is spoilt; connections that break at each byte, played

Cause: found by the test: the first 23 bytes of an earlier answer ("HTTP/1.1 200 X\r\nTry-Id:") ahead of the next one make a header of its status line; the answer was passed on, with its own seal and body and with a Try-Id that is none. Change: two different values of the header that names an answer's request end the attempt as spoilt. tests/system/test_offsets.py: a backend that breaks its connection at each byte of a request and of an answer, by reset and by close, and one that sends each part of the answer before ahead of the next; what may not be repeated arrives whole once at the most, each success is its own request's, a 503 has not run.

--- a/ivymux/door/upstream.py
+++ b/ivymux/door/upstream.py
@@ -210,6 +210,8 @@
         elif name == self.style.not_run:
             self.not_started = value == b"1"
         elif name == self.style.echo:
+            if self.named and self.named != value:
+                raise Spoilt("an answer that names two requests")  # part of another stands before it
             self.named = value
         elif name == b"keep-alive" and self.style.echo:
             found = KEEP.search(value)
--- /dev/null
+++ b/tests/system/test_offsets.py
@@ -0,0 +1,138 @@
+"""Connections to backends that break at each byte of a request and of an answer, over real processes.
+
+What may not be repeated arrives whole once at the most, and every success is its own request's whole answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections import Counter
+from dataclasses import dataclass, replace
+from pathlib import Path
+
+import httpx
+
+from ivymux.testdesk.lab import Lab, document, lab
+from standins.backend import Backend
+
+
+@dataclass(frozen=True, slots=True)
+class Break:
+    """Where a connection breaks, once."""
+
+    of_answer: bool
+    offset: int  # bytes that have come, or gone
+    reset: bool = True  # else it is closed
+    late: bool = False  # not at all: so many bytes of the answer before go ahead of the next one
+
+
+class BreakingBackend(Backend):
+    """Breaks a connection at a byte of a request or of its answer, once for each time that it is armed."""
+
+    armed: Break | None = None
+    whole_runs: Counter[str]
+    request_size = 0
+    before = b""  # the last answer
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open.add(writer)
+        try:
+            while True:
+                first = await reader.readexactly(1)
+                if self.armed is not None and not self.armed.of_answer:
+                    armed, self.armed = self.armed, None
+                    await reader.readexactly(armed.offset - 1)
+                    self.end(writer, armed.reset)
+                    return
+                head = first + await reader.readuntil(b"\r\n\r\n")
+                await self.answer_one(head, writer)
+                if writer.transport.is_closing():
+                    return
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self.open.discard(writer)
+            writer.close()
+
+    async def answer_one(self, head: bytes, writer: asyncio.StreamWriter) -> None:
+        lines = head.decode("latin-1").split("\r\n")
+        target = lines[0].split(" ")[1]
+        id = next(line.partition(":")[2].strip() for line in lines if line.lower().startswith("try-id:"))
+        self.whole_runs[id] += 1
+        self.request_size = max(self.request_size, len(head))
+        answer = self.whole(200, id, f"{self.service} {target}".encode(), f"Server-Seal: seal-{id}\r\n")
+        armed, self.armed = self.armed, None
+        if armed is None:
+            writer.write(answer)
+        elif armed.late:
+            writer.write(self.before[: armed.offset] + answer)
+        else:
+            writer.write(answer[: armed.offset])
+            if armed.offset < len(answer):
+                await writer.drain()
+                self.end(writer, armed.reset)
+        self.before = answer
+
+    @staticmethod
+    def end(writer: asyncio.StreamWriter, reset: bool) -> None:
+        if reset:
+            raw: socket.socket = writer.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+
+async def breaking_desk(it: Lab) -> BreakingBackend:
+    made = BreakingBackend("i-desk", "desk", "127.0.0.1", "hall")
+    made.whole_runs = Counter()
+    await made.start()
+    it.backends.append(made)
+    it.beating["i-desk"] = asyncio.get_running_loop().create_task(it.beat(made))
+    return made
+
+
+def check(answer: httpx.Response | None, id: str, target: str, desk: BreakingBackend) -> None:
+    """One try's outcome, as its client and the backend have seen it."""
+    assert answer is not None and answer.status_code in (200, 502, 503, 504), answer
+    assert desk.whole_runs[id] <= 1
+    if answer.status_code == 200:
+        assert desk.whole_runs[id] == 1
+        assert (answer.text, answer.headers["server-seal"]) == (f"desk {target}", f"seal-{id}")
+        assert answer.headers["try-id"] == id
+    elif answer.status_code == 503:
+        assert desk.whole_runs[id] == 0  # it says that the request has not run
+
+
+def test_connections_that_break_at_each_byte(tmp_path: Path) -> None:
+    async def day() -> None:
+        async with lab(tmp_path, doors=1, most=100.0) as it:
+            await it.all(first=True)
+            desk = await breaking_desk(it)
+            await it.put(document(1, sign="desk"))
+            await it.takes_clients(it.doors[0])
+            await it.served(it.doors[0], "/sign/0")
+
+            async def ask(id: str) -> int:
+                target = f"/sign/{id}"
+                answer = await it.ask(it.doors[0], "POST", target, Try_Id=id)
+                check(answer, id, target, desk)
+                assert answer is not None
+                return answer.status_code
+
+            size = len(desk.whole(200, "a-000", b"desk /sign/a-000", "Server-Seal: seal-a-000\r\n"))
+            statuses: Counter[tuple[str, int]] = Counter()
+            plans = [("request", Break(False, 0, reset), desk.request_size) for reset in (True, False)]
+            plans += [("answer", Break(True, 0, reset), size + 1) for reset in (True, False)]
+            plans += [("late", Break(True, 0, late=True), size + 1)]
+            for number, (name, kind, offsets) in enumerate(plans):
+                for offset in range(1, offsets):
+                    desk.armed = replace(kind, offset=offset)
+                    statuses[name, await ask(f"{number}-{offset:03d}")] += 1
+                    # The next one may come on the same connection, where it is kept.
+                    while await ask(f"{number}+{offset:03d}") == 503:  # the backend is left alone for a while
+                        desk.whole_runs.pop(f"{number}+{offset:03d}", None)
+            assert statuses["answer", 200] == 2  # where the last byte was there
+            assert statuses["late", 200] >= 1 and statuses["request", 200] == 0, statuses
+
+    asyncio.run(day())
