--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -34,13 +34,13 @@
 from ivymux.config_store.history import MOST_CHANGES, digest_of
 from ivymux.config_store.messages import ReplicaMessage
 from ivymux.config_store.records import ConfigurationState
-from ivymux.directory.register import Register
 from ivymux.numbering.plan import MOST_TEXT, Plan, plan_of
-from ivymux.switchboard.holders import Holders
-from ivymux.switchboard.roll import Roll
-from ivymux.switchboard.tables import Tables
+from ivymux.proxy.holders import Holders
+from ivymux.proxy.roll import Roll
+from ivymux.proxy.tables import Tables
+from ivymux.registry.register import Register
 from ivymux.testdesk.losses import started
-from ivymux.trunk.frames import pack
+from ivymux.transport.frames import pack
 
 PROXIES, BACKENDS, SERVICES, ROUTES, TENANTS = 830, 6800, 130, 4700, 60_000
 CORE_MACHINES = 5
--- a/bench/conversations.py
+++ b/bench/conversations.py
@@ -25,9 +25,9 @@
 from ivymux.config_store.calls import encode as encode_call
 from ivymux.config_store.messages import TicketStored, TicketWrite, encode
 from ivymux.door.front import Answer
-from ivymux.switchboard.actions import kept
+from ivymux.proxy.actions import kept
 from ivymux.ticket.book import DONE, KEY_DIGITS, Ticket
-from ivymux.trunk.frames import pack
+from ivymux.transport.frames import pack
 
 DOORS = (3, 8, 32)
 CONNECTIONS = 32  # in all
@@ -82,8 +82,8 @@
     try:
         for ip in CORES:
             system.start(ip, "config_store")
-            system.start(ip, "directory")
-        doors = {ip: system.start(ip, "switchboard") for ip in (f"127.0.0.{10 + n}" for n in range(count))}
+            system.start(ip, "registry")
+        doors = {ip: system.start(ip, "proxy") for ip in (f"127.0.0.{10 + n}" for n in range(count))}
         await system.take(sealed)
         beating = asyncio.get_running_loop().create_task(system.beat(sealed))
         for ip in doors:
--- a/bench/sizing.py
+++ b/bench/sizing.py
@@ -1,9 +1,9 @@
-"""What doors cost the core: real directories and configuration stores, and doors that do nothing but hold on.
+"""What doors cost the core: real registries and configuration stores, and doors that do nothing but hold on.
 
     python -m bench.sizing [--quick] [--json FILE|-]
 
 A stand-in door holds its connections, acknowledges news and fetches configurations as a door does, in the
-benchmark's own process.  Measured: CPU of the busiest directory and store, idle and with backends that
+benchmark's own process.  Measured: CPU of the busiest registry and store, idle and with backends that
 call; the time from a change to the last door; bytes to and from a door.
 """
 
@@ -22,8 +22,8 @@
 from bench.common import arguments, figure, report
 from bench.system import CORES, System, document
 from ivymux.door.limits import Address
-from ivymux.trunk.frames import Message, pack
-from ivymux.trunk.line import Dialler, Line
+from ivymux.transport.frames import Message, pack
+from ivymux.transport.line import Dialler, Line
 
 DOORS = (11, 85, 300, 1000)
 BACKENDS, BEAT = 155, 1.5
@@ -126,7 +126,7 @@
     calling: asyncio.Task[None] | None = None
     try:
         stores = [system.start(ip, "config_store") for ip in CORES]
-        directories = [system.start(ip, "directory") for ip in CORES]
+        registries = [system.start(ip, "registry") for ip in CORES]
         await system.take([])
         doors = [Door(n, system.inner + 1) for n in range(count)]
         async with asyncio.timeout(60):
@@ -134,12 +134,12 @@
                 await asyncio.sleep(0.05)
 
         async def busiest() -> tuple[float, float, float]:
-            """Per cent of a core of the busiest directory and store; bytes a second of a door."""
-            before, since = [c.cpu() for c in (*directories, *stores)], time.perf_counter()
+            """Per cent of a core of the busiest registry and store; bytes a second of a door."""
+            before, since = [c.cpu() for c in (*registries, *stores)], time.perf_counter()
             Counted.counted = 0
             await asyncio.sleep(SPAN)
             spent = time.perf_counter() - since
-            used = [100 * (c.cpu() - b) / spent for c, b in zip((*directories, *stores), before, strict=True)]
+            used = [100 * (c.cpu() - b) / spent for c, b in zip((*registries, *stores), before, strict=True)]
             return max(used[: len(CORES)]), max(used[len(CORES) :]), Counted.counted / spent / count
 
         idle = await busiest()
@@ -147,7 +147,7 @@
         await asyncio.sleep(2 * BEAT)
         called = await busiest()
         spans, answered, calls = [], [], 0
-        before = [c.cpu() for c in directories]
+        before = [c.cpu() for c in registries]
         for version in range(2, changes + 2):
             began = time.perf_counter()
             url = f"http://{CORES[0]}:{system.control}/configuration"
@@ -157,8 +157,8 @@
                 while any(d.version < version for d in doors):
                     await asyncio.sleep(0.002)
             spans.append(max(d.at for d in doors) - began)
-        memory = max(c.peak_mb() for c in directories)
-        change = max(c.cpu() - b for c, b in zip(directories, before, strict=True)) / changes
+        memory = max(c.peak_mb() for c in registries)
+        change = max(c.cpu() - b for c, b in zip(registries, before, strict=True)) / changes
     finally:
         if calling is not None:
             calling.cancel()
@@ -170,7 +170,7 @@
             child.stop()
     name = f"{count} doors: "
     return {
-        name + "CPU of the busiest directory, idle": figure([idle[0]], "% of a core"),
+        name + "CPU of the busiest registry, idle": figure([idle[0]], "% of a core"),
         name + f"the same with {BACKENDS} backends that call each {BEAT} s": figure(
             [called[0]], "% of a core"
         ),
@@ -179,8 +179,8 @@
         name + "from a change to the last door": figure(spans, "s"),
         name + "until it is answered": figure(answered, "s"),
         name + "calls of the operator for a change": figure([calls / changes], "calls"),
-        name + "CPU of a change at the busiest directory": figure([1000 * change], "ms"),
-        name + "peak memory of a directory": figure([memory], "MB"),
+        name + "CPU of a change at the busiest registry": figure([1000 * change], "ms"),
+        name + "peak memory of a registry": figure([memory], "MB"),
     }
 
 
--- a/bench/system.py
+++ b/bench/system.py
@@ -80,7 +80,7 @@
 
     def start(self, ip: str, role: str) -> Child:
         listen = {"control_addr": f"{ip}:{self.control}"}
-        if role == "switchboard":
+        if role == "proxy":
             listen = {"front_addr": f"{ip}:{self.front}", "ready_addr": f"{ip}:{self.ready}"}
         path = self.folder / f"{role}-{ip}.yaml"
         path.write_text(yaml.safe_dump({
@@ -142,7 +142,7 @@
     async def measure(self, count: int, runs: int) -> dict[str, list[float]]:
         platform = Child("-m", "ivymux", prints_port=False, env=self.env)
         began = time.perf_counter()
-        door = self.system.start("127.0.0.1", "switchboard")
+        door = self.system.start("127.0.0.1", "proxy")
         try:
             await self.system.serves()
             self.started = time.perf_counter() - began
@@ -182,7 +182,7 @@
     try:
         for ip in CORES:
             system.start(ip, "config_store")
-            system.start(ip, "directory")
+            system.start(ip, "registry")
         await system.take(sealed)
         beating = asyncio.get_running_loop().create_task(system.beat(sealed))
         made = Round(system, env, port)
--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -5,11 +5,8 @@
 import signal
 import sys
 
-ROLES = (
-    "switchboard",
-    "directory",
-    "config_store",
-)  # the system's programs: they import little, and start fast
+ROLES = ("proxy", "registry", "config_store")  # the system's programs: they import little, and start fast
+FORMER_ROLES = {"switchboard": "proxy", "directory": "registry", "exchange": "config_store"}
 
 if __name__ == "__main__":
     if len(sys.argv) == 1 or sys.argv[1] in ROLES:
@@ -22,6 +19,10 @@
         from ivymux.station.program import main as program
 
         sys.exit(program(sys.argv[1], sys.argv[2:], early))
+    if len(sys.argv) > 1 and sys.argv[1] in FORMER_ROLES:
+        former = sys.argv[1]
+        print(f"ivymux: the role {former} is named {FORMER_ROLES[former]} now", file=sys.stderr)
+        sys.exit(2)
     if len(sys.argv) > 1 and sys.argv[1] == "replay":
         from ivymux.testdesk.replay import main as replay
 
--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -31,8 +31,8 @@
 from ivymux.door.limits import Address
 from ivymux.station.log import Log
 from ivymux.station.settings import Settings
-from ivymux.trunk.frames import Message
-from ivymux.trunk.line import Dialler, Line, Listener, TrunkError
+from ivymux.transport.frames import Message
+from ivymux.transport.line import Dialler, Line, Listener, TransportError
 
 TICK = 0.05  # seconds
 ENDS_BEFORE = 1.0  # seconds before the end of `grace` at which a process that holds a copy ends all the same
@@ -40,7 +40,7 @@
 PUT_WAIT = 0.85  # seconds for which a call of the operator may wait here; a caller goes on after one
 MOST_QUEUE = 5000  # actions that may wait for the disk
 MOST_CORES = 32  # core machines that are dialled
-MOST_ASKED = 4000  # calls of directories that are under way
+MOST_ASKED = 4000  # calls of registries that are under way
 
 log = Log("config_store")
 
@@ -173,7 +173,7 @@
             registry.send(message)
 
     def tell_cores(self) -> None:
-        """The core machines there are, for who asks the directories."""
+        """The core machines there are, for who asks the registries."""
         record = self.replica.record
         there = {address_of(m) for m in record.members} if record is not None else set()
         there |= {a for a, p in self.peers.items() if p.up} | {self.settings.ip}
@@ -318,7 +318,7 @@
         passed = {**{k: v for k, v in message.items() if k != "n"}, "passed": True, "w": left}
         try:
             told = await peer.call(passed, left)
-        except TrunkError:
+        except TransportError:
             return None
         return {k: v for k, v in told.items() if k != "re"} if told.get("ok") is True else None
 
@@ -340,7 +340,7 @@
                 told = await peer.call({"k": "get", "passed": True}, 0.7)
                 line.answer(message, ok=told.get("ok"), v=told.get("v"), t=told.get("t"))
                 return
-            except TrunkError:
+            except TransportError:
                 pass
         line.answer(message, ok=False)
 
--- a/ivymux/switchboard/catching.py
+++ b/ivymux/proxy/catching.py
@@ -17,14 +17,14 @@
 from ivymux.intercept.board import CLOSE, DELAY, LOSE, TrialError, read
 from ivymux.intercept.catch import RENEW, Catch
 from ivymux.station.log import Log
-from ivymux.trunk.line import Dialler, TrunkError
+from ivymux.transport.line import Dialler, TransportError
 
 CALL = 0.5  # seconds of one question
 KEPT = 10.0  # seconds of counts from before a trial, which others' failures are held against
 LEFT = 0.5  # of the time that a client has left, what a request is held for at most
 TEXT = b"refused in a trial of this caller; it has not run\n"
 
-log = Log("switchboard")
+log = Log("proxy")
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,7 +129,7 @@
                 self.use(told["t"])
             if told.get("age") is not None:
                 self.catch.renew(int(told["v"]), began, float(told["age"]))
-        except TrunkError:
+        except TransportError:
             pass
         except (KeyError, TypeError, ValueError):
             self.spoilt += 1
--- a/ivymux/switchboard/claims.py
+++ b/ivymux/proxy/claims.py
@@ -11,11 +11,11 @@
 
 from ivymux.config_store.calls import ClaimAction, EndAction, encode
 from ivymux.door.front import Answer
-from ivymux.switchboard.actions import Action, answer_of, kept
+from ivymux.proxy.actions import Action, answer_of, kept
 from ivymux.ticket.book import DONE, FREE, GO, LOST
 from ivymux.ticket.terms import Terms
-from ivymux.trunk.frames import Message
-from ivymux.trunk.line import Dialler, TrunkError
+from ivymux.transport.frames import Message
+from ivymux.transport.line import Dialler, TransportError
 
 ASK = 1.5  # seconds for which a claim is tried; a lost leader is replaced within one
 PART = 0.5  # of the time that the client has left, at the most
@@ -58,7 +58,7 @@
                     return None
                 try:
                     told = await core.call(message, min(CALL, left))
-                except TrunkError:
+                except TransportError:
                     continue
                 if told.get("ok") is True:
                     return told
--- a/ivymux/switchboard/counter.py
+++ b/ivymux/proxy/counter.py
@@ -11,19 +11,19 @@
 from typing import Any
 
 from ivymux.door.limits import Address
+from ivymux.proxy.counts import Counts
+from ivymux.proxy.holders import Holders
 from ivymux.station.log import Log
-from ivymux.switchboard.counts import Counts
-from ivymux.switchboard.holders import Holders
 from ivymux.tally.store import MOST_AMOUNT, TallyFull
-from ivymux.trunk.frames import Message
-from ivymux.trunk.line import Dialler, Line
+from ivymux.transport.frames import Message
+from ivymux.transport.line import Dialler, Line
 from orchidhill.interface import Count, Counted, Late, Outcome
 
 MOST_UNSENT = 500  # calls that wait for a connection
 MOST_SPAN = 3600.0  # seconds, of a rule's window or of what is told late
 MOST_OUT = 2_000  # calls that wait for their answers
 
-log = Log("switchboard")
+log = Log("proxy")
 
 
 class Pending:
--- a/ivymux/switchboard/doubts.py
+++ b/ivymux/proxy/doubts.py
@@ -9,7 +9,7 @@
 
 from ivymux.door.host import Host, Open
 from ivymux.door.upstream import Result
-from ivymux.trunk.frames import Message
+from ivymux.transport.frames import Message
 from orchidhill.interface import Outcome
 
 TOGETHER = 0.03  # seconds: what is met within them is told in one message
--- a/ivymux/switchboard/front.py
+++ b/ivymux/proxy/front.py
@@ -11,12 +11,12 @@
 from ivymux.door.departures import OnDeparture
 from ivymux.door.front import CUT, Answer, BadRequest, Call, Headers
 from ivymux.numbering.plan import Plan
-from ivymux.switchboard.tables import Tables
+from ivymux.proxy.tables import Tables
 from orchidhill import interface as i
 
 if TYPE_CHECKING:
-    from ivymux.switchboard.catching import Catcher
-    from ivymux.switchboard.keyed import Keyed
+    from ivymux.proxy.catching import Catcher
+    from ivymux.proxy.keyed import Keyed
 
 REASONS = {
     200: "OK", 201: "Created", 202: "Accepted", 204: "No Content", 400: "Bad Request", 401: "Unauthorized",
--- a/ivymux/switchboard/holders.py
+++ b/ivymux/proxy/holders.py
@@ -18,7 +18,7 @@
 SEATS = 6
 FEW = 3  # with fewer that were there from the beginning all doors may hold a window
 SETTLED = 1.5  # seconds after a change of the list in which doors may not agree on it yet
-SAME = 1.0  # seconds by which directories may differ on when a door came
+SAME = 1.0  # seconds by which registries may differ on when a door came
 KEPT = 30.0  # seconds: no window is longer
 TOGETHER = 3.0  # seconds within which all doors start that were lost together
 AWAY = 30.0  # seconds for which a part of each quota is kept for a door that went: it may be alive, cut off
--- a/ivymux/switchboard/keyed.py
+++ b/ivymux/proxy/keyed.py
@@ -10,15 +10,15 @@
 
 from ivymux.door.front import Headers
 from ivymux.numbering.plan import Route
+from ivymux.proxy.actions import action
+from ivymux.proxy.claims import Claim, Claims
+from ivymux.proxy.roll import UP, Backend
 from ivymux.station.log import Log
-from ivymux.switchboard.actions import action
-from ivymux.switchboard.claims import Claim, Claims
-from ivymux.switchboard.roll import UP, Backend
 from ivymux.ticket.homes import BUCKETS, Homes, bucket
 from ivymux.ticket.terms import TermsError, read
-from ivymux.trunk.line import Dialler
+from ivymux.transport.line import Dialler
 
-log = Log("switchboard")
+log = Log("proxy")
 
 
 @dataclass(frozen=True, slots=True)
--- a/ivymux/switchboard/pages.py
+++ b/ivymux/proxy/pages.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Mapping
 
 from ivymux.door.front import Answer, BadRequest, Call, Headers
-from ivymux.switchboard.front import REASONS
+from ivymux.proxy.front import REASONS
 
 READINESS = b"/readiness"
 METRICS = b"/metrics"
--- a/ivymux/switchboard/program.py
+++ b/ivymux/proxy/program.py
@@ -1,4 +1,4 @@
-"""The switchboard's process: one door of the system, its parts wired together."""
+"""The proxy's process: one door of the system, its parts wired together."""
 
 from __future__ import annotations
 
@@ -16,30 +16,30 @@
 from ivymux.door.upstream import Upstream
 from ivymux.intercept import TRIALS
 from ivymux.numbering.plan import PlanError, plan_of
+from ivymux.proxy.counter import HeldCounter
+from ivymux.proxy.counts import Counts
+from ivymux.proxy.doubts import Doubts, WatchedHost
+from ivymux.proxy.front import SystemFront
+from ivymux.proxy.holders import Holders
+from ivymux.proxy.module import CONNECT_TIMEOUT, COUNTER_TIMEOUT, module_settings
+from ivymux.proxy.pages import METRICS, READINESS, PagesFront, metrics_text
+from ivymux.proxy.roll import LOST, OFF, UP, Backend, DoorPlace, Roll, RollError
+from ivymux.proxy.style import style
+from ivymux.proxy.tables import Tables
 from ivymux.station.clock import SystemClock
 from ivymux.station.early import fitting
 from ivymux.station.log import Log
 from ivymux.station.settings import Settings
-from ivymux.switchboard.counter import HeldCounter
-from ivymux.switchboard.counts import Counts
-from ivymux.switchboard.doubts import Doubts, WatchedHost
-from ivymux.switchboard.front import SystemFront
-from ivymux.switchboard.holders import Holders
-from ivymux.switchboard.module import CONNECT_TIMEOUT, COUNTER_TIMEOUT, module_settings
-from ivymux.switchboard.pages import METRICS, READINESS, PagesFront, metrics_text
-from ivymux.switchboard.roll import LOST, OFF, UP, Backend, DoorPlace, Roll, RollError
-from ivymux.switchboard.style import style
-from ivymux.switchboard.tables import Tables
 from ivymux.ticket import CONVERSATIONS
-from ivymux.trunk.frames import Message
-from ivymux.trunk.line import Dialler, Line, Listener
+from ivymux.transport.frames import Message
+from ivymux.transport.line import Dialler, Line, Listener
 from orchidhill import interface as i
 from orchidhill.interface import State
 from orchidhill.switch import SILENT, Switch, Terms
 
 if TYPE_CHECKING:
-    from ivymux.switchboard.catching import Catcher
-    from ivymux.switchboard.keyed import Keyed
+    from ivymux.proxy.catching import Catcher
+    from ivymux.proxy.keyed import Keyed
     from orchidhill.gateway import Gateway
 
 IDLE = 10.0  # seconds that a backend is taken to keep an idle connection, where it says nothing
@@ -55,17 +55,17 @@
 MOST_SHUN = 10.0  # seconds for which a door leaves a backend alone by the core's word
 COLD = 3.0  # seconds that a backend is slow from its start
 
-log = Log("switchboard")
+log = Log("proxy")
 
 
 class Core:
-    """The connection to one core machine's directory."""
+    """The connection to one core machine's registry."""
 
     def __init__(self, door: Door, ip: str) -> None:
         self.door, self.ip = door, ip
         self.version, self.zone = -1, ""
         self.asked_at = 0.0
-        address = Address(ip, door.settings.directory_port)
+        address = Address(ip, door.settings.registry_port)
         self.line = Dialler(address, self.heard, on_up=self.up, on_down=self.down)
 
     def up(self, line: Line) -> None:
@@ -88,7 +88,7 @@
         except (KeyError, TypeError, ValueError) as error:
             self.door.spoilt += 1
             if self.door.spoilt in (1, 10, 100, 1000):
-                log.say(f"a message that no directory sends ended its connection: {error}.")
+                log.say(f"a message that no registry sends ended its connection: {error}.")
             line.abort()
 
     def hear(self, line: Line, message: Message) -> None:
@@ -248,7 +248,7 @@
     def keys(self) -> Keyed:
         """What actions with keys need, loaded with the first of them."""
         if self.keyed is None:
-            from ivymux.switchboard.keyed import Keyed
+            from ivymux.proxy.keyed import Keyed
 
             self.keyed = Keyed(self.lines, self.roll.backends.values)
             if self.terms:
@@ -287,7 +287,7 @@
     def trials(self, text: str) -> None:
         """A board of trials; what it takes is loaded with the first of them."""
         if self.catcher is None:
-            from ivymux.switchboard.catching import Catcher
+            from ivymux.proxy.catching import Catcher
 
             self.catcher = Catcher(
                 self.settings.zone, self.id, self.host, self.lines, self.clock.read, self.counted
--- a/ivymux/switchboard/roll.py
+++ b/ivymux/proxy/roll.py
@@ -1,9 +1,9 @@
-"""What a door knows of backends, doors and core machines: the words of all its directories, put together.
+"""What a door knows of backends, doors and core machines: the words of all its registries, put together.
 Pure.
 
-Each directory tells what it heard itself; they do not copy one another.  Of a backend the word with the
-highest `call_seq` counts, its end before all.  A backend that no connected directory knows is kept for a
-while: its own directory may have just gone, and its calls go to another one.
+Each registry tells what it heard itself; they do not copy one another.  Of a backend the word with the
+highest `call_seq` counts, its end before all.  A backend that no connected registry knows is kept for a
+while: its own registry may have just gone, and its calls go to another one.
 """
 
 from __future__ import annotations
@@ -11,13 +11,13 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-ORPHAN = 6.0  # seconds for which a backend is kept that no connected directory knows
+ORPHAN = 6.0  # seconds for which a backend is kept that no connected registry knows
 END_KEPT = 120.0  # and for which an ended id is
 UP, QUIESCING, LOST, OFF = "up", "quiescing", "lost", "off"
 
 
 class RollError(ValueError):
-    """News that no correct directory sends."""
+    """News that no correct registry sends."""
 
 
 @dataclass(slots=True)
@@ -31,13 +31,13 @@
     seq: int
     warm_until: float
     number: int  # this door's own, for its module
-    seen_at: float = 0.0  # when a connected directory last had it
-    sources: dict[str, tuple[int, str]] = field(default_factory=dict)  # seq and state by directory
+    seen_at: float = 0.0  # when a connected registry last had it
+    sources: dict[str, tuple[int, str]] = field(default_factory=dict)  # seq and state by registry
 
 
 @dataclass(frozen=True, slots=True)
 class DoorPlace:
-    """A door, as a directory tells of it."""
+    """A door, as a registry tells of it."""
 
     address: str
     port: int
@@ -52,7 +52,7 @@
 
 @dataclass(slots=True)
 class Source:
-    """One directory, as it is connected now."""
+    """One registry, as it is connected now."""
 
     run: str = ""
     number: int = 0
@@ -75,7 +75,7 @@
     def snapshot(
         self, name: str, run: str, number: int, whole: bool, lines: Any, doors: Any, now: float
     ) -> None:
-        """A directory's first word on a connection: all it has, or what changed since its last one."""
+        """A registry's first word on a connection: all it has, or what changed since its last one."""
         source = self.source(name)
         source.run, source.number, source.up = run, number, True
         source.doors = {str(d[0]): DoorPlace.read(d, now) for d in doors}
@@ -146,7 +146,7 @@
             self.changed[backend.number] = backend
 
     def lost(self, name: str, now: float) -> None:
-        """The connection to a directory has ended."""
+        """The connection to a registry has ended."""
         source = self.source(name)
         source.up, source.doors, self.doors_changed = False, {}, True
         for backend in self.backends.values():
@@ -154,7 +154,7 @@
                 backend.seen_at = now
 
     def sweep(self, now: float) -> None:
-        """Backends that nobody knows any more; only while some directory is connected."""
+        """Backends that nobody knows any more; only while some registry is connected."""
         if not any(s.up for s in self.sources.values()):
             return
         for backend in list(self.backends.values()):
@@ -175,7 +175,7 @@
         return changed
 
     def told_doors(self, name: str, come: Any, gone: Any, now: float) -> None:
-        """A directory's word on doors that have come, and on the ids of those that have gone."""
+        """A registry's word on doors that have come, and on the ids of those that have gone."""
         source = self.source(name)
         for door in come:
             source.doors[str(door[0])] = DoorPlace.read(door, now)
@@ -184,7 +184,7 @@
         self.doors_changed = True
 
     def doors(self) -> dict[str, DoorPlace]:
-        """All doors that some connected directory sees, by id: as who has seen them for longest tells."""
+        """All doors that some connected registry sees, by id: as who has seen them for longest tells."""
         found: dict[str, DoorPlace] = {}
         for source in self.sources.values():
             if source.up:
--- a/ivymux/directory/program.py
+++ b/ivymux/registry/program.py
@@ -1,4 +1,4 @@
-"""The directory's process: outside calls, held connections to the doors and to its own machine's store."""
+"""The registry's process: outside calls, held connections to the doors and to its own machine's store."""
 
 from __future__ import annotations
 
@@ -14,21 +14,21 @@
 from ivymux.config_store.calls import Call as StoreCall
 from ivymux.config_store.calls import PutConfiguration, PutNote, encode
 from ivymux.config_store.history import Identity
-from ivymux.directory.grey import Grey
-from ivymux.directory.reach import ProxyReach
-from ivymux.directory.register import QUIESCING, UP, CallError, Register
-from ivymux.directory.trialcalls import TrialCalls
 from ivymux.door.front import Answer
 from ivymux.door.limits import Address, Bounds
 from ivymux.door.server import Server
 from ivymux.intercept import TRIALS
 from ivymux.numbering.plan import MOST_TEXT, PlanError
+from ivymux.registry.grey import Grey
+from ivymux.registry.reach import ProxyReach
+from ivymux.registry.register import QUIESCING, UP, CallError, Register
+from ivymux.registry.trialcalls import TrialCalls
 from ivymux.station.log import Log
 from ivymux.station.settings import Settings
 from ivymux.ticket import CONVERSATIONS
-from ivymux.trunk.desk import JSON, Asked, Desk, DeskFront, declare, fault
-from ivymux.trunk.frames import Message, pack
-from ivymux.trunk.line import Dialler, Line, Listener, TrunkError
+from ivymux.transport.desk import JSON, Asked, Desk, DeskFront, declare, fault
+from ivymux.transport.frames import Message, pack
+from ivymux.transport.line import Dialler, Line, Listener, TransportError
 
 SILENT_BEATS = 2.3  # beats without a word after which a backend counts as lost
 CALL = 0.95  # seconds for which a call of the operator may take; after one it goes to another machine
@@ -45,7 +45,7 @@
 
 NOT_REACHED = "this machine does not reach the doors just now; call another core machine"
 
-log = Log("directory")
+log = Log("registry")
 
 
 def not_taken(version: int, told: Message) -> Answer:
@@ -84,7 +84,7 @@
         return [self.id, self.address, self.port, self.zone, round(now - self.came, 3)]
 
 
-class Directory(TrialCalls):
+class Registry(TrialCalls):
     def __init__(self, settings: Settings) -> None:
         self.longest_trial = settings.longest_trial
         self.settings = settings
@@ -122,7 +122,7 @@
 
     async def start(self) -> None:
         """Raises OSError."""
-        await self.listener.start(Address(self.settings.ip, self.settings.directory_port))
+        await self.listener.start(Address(self.settings.ip, self.settings.registry_port))
         await self.server.start()
         self.sweeper = asyncio.get_running_loop().create_task(self.sweep())
         log.say(f"takes calls on {self.server.listen.host}:{self.server.listen.port}.")
@@ -182,7 +182,7 @@
         asked = {name: value for name, value in message.items() if name != "n"}
         try:
             told = await self.config_store.call(asked, PASS)
-        except TrunkError:
+        except TransportError:
             told = {"ok": False}
         line.answer(message, **{name: value for name, value in told.items() if name != "re"})
 
@@ -396,7 +396,7 @@
         """Have a change taken by the core: what it says of it, or what its operator is told instead."""
         try:
             told = await self.config_store.call(encode(call), CALL)
-        except TrunkError as error:
+        except TransportError as error:
             return fault(503, f"the store of configuration does not answer: {error}; repeat the call")
         if not told.get("ok"):
             return fault(503, "no core machine can take a change just now; repeat the call")
@@ -406,7 +406,7 @@
     async def get(self, asked: Asked) -> Answer:
         try:
             told = await self.config_store.call({"k": "get"}, 0.9)
-        except TrunkError as error:
+        except TransportError as error:
             return fault(503, f"the store of configuration does not answer: {error}; repeat the call")
         if not told.get("ok"):
             return fault(
--- a/ivymux/directory/register.py
+++ b/ivymux/registry/register.py
@@ -1,4 +1,4 @@
-"""Which backends one directory has heard of.  Pure: steady time is passed in.
+"""Which backends one registry has heard of.  Pure: steady time is passed in.
 
 A backend's life has an id of its own.  `call_seq` orders its calls, a DELETE ends the id for good.  Silence
 makes a record `lost`, which a later call takes back; what changes is numbered, and kept for doors that come
--- a/ivymux/directory/trialcalls.py
+++ b/ivymux/registry/trialcalls.py
@@ -5,10 +5,10 @@
 from typing import TYPE_CHECKING, Any
 
 from ivymux.door.front import Answer
-from ivymux.trunk.desk import Asked, declare
+from ivymux.transport.desk import Asked, declare
 
 if TYPE_CHECKING:
-    from ivymux.directory.trials import Trials
+    from ivymux.registry.trials import Trials
 
 
 class TrialCalls:
@@ -17,10 +17,10 @@
 
     def trials(self) -> Trials:
         if self.intercepts is None:
-            from ivymux.directory.trials import Trials
+            from ivymux.registry.trials import Trials
 
-            directory: Any = self
-            self.intercepts = Trials(directory, self.longest_trial)
+            registry: Any = self
+            self.intercepts = Trials(registry, self.longest_trial)
         return self.intercepts
 
     @declare("PUT", "/trials/{}")
--- a/ivymux/directory/trials.py
+++ b/ivymux/registry/trials.py
@@ -1,9 +1,9 @@
-"""Trials at a directory: operators' calls, what doors are told and tell, the loop that ends what is due.
+"""Trials at a registry: operators' calls, what doors are told and tell, the loop that ends what is due.
 Imported with the first word on trials.
 
 The board is a note of the store of configuration.  A change is made from the board that it was read from, or
 not at all.  While a trial runs, the board is read again and again from who leads: each answer to a door says
-how old that reading is, and the door's lease counts from there.  Any directory may end what is due, or what
+how old that reading is, and the door's lease counts from there.  Any registry may end what is due, or what
 the guard ends; that it was ended by another already is no error.
 """
 
@@ -24,12 +24,12 @@
 from ivymux.intercept.guard import Guard, GuardError
 from ivymux.numbering.plan import Plan, PlanError, plan_of
 from ivymux.station.log import Log
-from ivymux.trunk.desk import JSON, Asked, fault
-from ivymux.trunk.frames import Message
-from ivymux.trunk.line import Line, TrunkError
+from ivymux.transport.desk import JSON, Asked, fault
+from ivymux.transport.frames import Message
+from ivymux.transport.line import Line, TransportError
 
 if TYPE_CHECKING:
-    from ivymux.directory.program import Directory
+    from ivymux.registry.program import Registry
 
 READ = 0.4  # seconds between readings of the board, while a trial runs
 CALL = 0.8  # seconds of one
@@ -40,7 +40,7 @@
 NOBODY = "no core machine can answer for trials just now; repeat the call"
 FAST = "trials change too fast; repeat the call"
 
-log = Log("directory")
+log = Log("registry")
 
 
 @dataclass(slots=True)
@@ -55,7 +55,7 @@
 
 @dataclass(slots=True)
 class Trials:
-    directory: Directory
+    registry: Registry
     longest: float
     board: Board = field(default_factory=Board)
     read_at: float = -1e9  # steady time at which the last reading was asked for
@@ -84,8 +84,8 @@
         """The board from who leads; None where nobody who does can be reached."""
         began = time.monotonic()
         try:
-            told = await self.directory.config_store.call(encode(ReadNote(TRIALS)), CALL)
-        except TrunkError:
+            told = await self.registry.config_store.call(encode(ReadNote(TRIALS)), CALL)
+        except TransportError:
             return None
         if told.get("ok") is not True:
             return None
@@ -100,8 +100,8 @@
         """Have a board taken in the place of the one before it; whether it was.  Raises TrialError."""
         note = PutNote(TRIALS, board.version, board.text(), based_on=board.version - 1)
         try:
-            told = await self.directory.config_store.call(encode(note), CALL)
-        except TrunkError as error:
+            told = await self.registry.config_store.call(encode(note), CALL)
+        except TransportError as error:
             raise TrialError(f"the store does not answer: {error}; repeat the call", 503) from None
         if told.get("ok") is not True:
             raise TrialError("no core machine can take a change just now; repeat the call", 503)
@@ -112,7 +112,7 @@
 
     async def watch(self) -> None:
         """While a trial runs: read the board, end what is due or does harm."""
-        while self.board.running and not self.directory.ending:
+        while self.board.running and not self.registry.ending:
             await asyncio.gather(self.read(), asyncio.sleep(READ))
             now = time.time()
             reason = self.guard.tripped(time.monotonic())
@@ -175,7 +175,7 @@
         now = time.monotonic()
         asked, caught = self.sums(trial.name)
         there, lacking = [], []
-        for door in sorted({d.id for d in self.directory.doors.values()})[:MOST_SHOWN]:
+        for door in sorted({d.id for d in self.registry.doors.values()})[:MOST_SHOWN]:
             word = self.words.get(door)
             said = word.counts.get(trial.name) if word is not None and now - word.at < OLD else None
             if said is None or not said[0]:
@@ -191,7 +191,7 @@
 
     def configured(self) -> Plan | None:
         """The plan of the configuration that this machine holds; None where there is none."""
-        version, text = self.directory.version, self.directory.text
+        version, text = self.registry.version, self.registry.text
         if version < 0:
             return None
         if self.plan is None or self.plan.version != version:
--- a/ivymux/station/clock.py
+++ b/ivymux/station/clock.py
@@ -1,7 +1,7 @@
 """System time: steady, and nearly the same on all doors whatever happens to the time of day.  Pure.
 
-Each core machine's directory takes the time of day once, when it starts, and counts on by its steady clock.
-A door takes the middle of what its directories say and holds on to it: it moves only where that middle is
+Each core machine's registry takes the time of day once, when it starts, and counts on by its steady clock.
+A door takes the middle of what its registries say and holds on to it: it moves only where that middle is
 off by more than `APART`, as windows of quotas must not jump with every word.
 """
 
@@ -13,7 +13,7 @@
 class SystemClock:
     def __init__(self, unix: float, steady: float) -> None:
         self.offset = unix - steady
-        self.heard: dict[str, float] = {}  # offsets by directory
+        self.heard: dict[str, float] = {}  # offsets by registry
         self.settled = False
 
     def read(self, steady: float) -> float:
--- a/ivymux/station/early.py
+++ b/ivymux/station/early.py
@@ -30,7 +30,7 @@
 
 def listening(role: str, arguments: Sequence[str]) -> socket.socket | None:
     """A socket that listens for clients; None where none can be had, which is told when the door starts."""
-    if role != "switchboard" or arguments:
+    if role != "proxy" or arguments:
         return None
     try:
         with open(os.environ[VARIABLE], encoding="utf-8") as file:
--- a/ivymux/station/program.py
+++ b/ivymux/station/program.py
@@ -110,14 +110,14 @@
 
 def maker(role: str, early: socket.socket | None = None) -> Callable[[Settings], Program]:
     """The program of a role; a door imports only what a door needs."""
-    if role == "switchboard":
-        from ivymux.switchboard.program import Door
+    if role == "proxy":
+        from ivymux.proxy.program import Door
 
         return partial(Door, waiting=early)
-    if role == "directory":
-        from ivymux.directory.program import Directory
+    if role == "registry":
+        from ivymux.registry.program import Registry
 
-        return Directory
+        return Registry
     from ivymux.config_store.program import ConfigStore
 
     return ConfigStore
--- a/ivymux/station/settings.py
+++ b/ivymux/station/settings.py
@@ -92,7 +92,7 @@
         if len(net.inner_port_range) != 2 or net.inner_port_range[1] - net.inner_port_range[0] < 2:
             raise SettingsError("network_table.inner_port_range: give a first and a last port, three or more")
         first_port, last_port = net.inner_port_range
-        self.config_store_port, self.directory_port, self.door_port = range(first_port, first_port + 3)
+        self.config_store_port, self.registry_port, self.door_port = range(first_port, first_port + 3)
         self.metrics_port = first_port + 3 if first_port + 3 <= last_port else None
         self.listen: dict[str, Address] = {}
         for name, text in net.listen_addrs.items():
--- a/ivymux/testdesk/explore.py
+++ b/ivymux/testdesk/explore.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from ivymux.config_store.replica import Replica
-from ivymux.directory import grey
+from ivymux.registry import grey
 from ivymux.testdesk.clocked import START
 from ivymux.testdesk.control import Control
 from ivymux.testdesk.cores import Broken
@@ -68,7 +68,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Trials:
-    """Trials that start and end while doors and directories are cut off and start anew (trialrun.py)."""
+    """Trials that start and end while doors and registries are cut off and start anew (trialrun.py)."""
 
     name: str = "trials"
 
--- a/ivymux/testdesk/lab.py
+++ b/ivymux/testdesk/lab.py
@@ -83,7 +83,7 @@
 
     async def start(self, ip: str, first: bool = False) -> None:
         path = self.settings(ip, first)
-        roles = ("directory", "config_store") if ip in self.cores else ("switchboard",)
+        roles = ("registry", "config_store") if ip in self.cores else ("proxy",)
         self.machines[ip] = [
             await asyncio.create_subprocess_exec(
                 sys.executable, *self.entry, role, "--settings", str(path), cwd=ROOT,
--- a/ivymux/testdesk/seeded.py
+++ b/ivymux/testdesk/seeded.py
@@ -19,12 +19,12 @@
 from ivymux.config_store.records import ConfigurationState, DurableState, EpochRecord, is_majority
 from ivymux.config_store.replica import Replica
 from ivymux.config_store.replica_state import Attempt
-from ivymux.directory import grey
 from ivymux.intercept import catch
 from ivymux.intercept.board import Board
 from ivymux.intercept.catch import Catch
-from ivymux.switchboard.counts import Book, Counts
-from ivymux.switchboard.holders import Holders
+from ivymux.proxy.counts import Book, Counts
+from ivymux.proxy.holders import Holders
+from ivymux.registry import grey
 from ivymux.testdesk.control import Control
 from ivymux.testdesk.cores import Cores, Disk
 from ivymux.testdesk.explore import Core, Cuts, Doubts, Quotas, Trials, World
--- a/ivymux/testdesk/servers.py
+++ b/ivymux/testdesk/servers.py
@@ -13,9 +13,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ivymux.directory.grey import Grey
-from ivymux.switchboard.doubts import doubtful
-from ivymux.switchboard.module import module_settings
+from ivymux.proxy.doubts import doubtful
+from ivymux.proxy.module import module_settings
+from ivymux.registry.grey import Grey
 from ivymux.testdesk.clocked import START, Clocked
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
--- a/ivymux/testdesk/trialrun.py
+++ b/ivymux/testdesk/trialrun.py
@@ -1,4 +1,4 @@
-"""A model of trials under faults: a core that holds the board, directories and doors that are cut off, start
+"""A model of trials under faults: a core that holds the board, registries and doors that are cut off, start
 anew and hear late; requests at every door all the while.  Pure: one seed, one evening.
 
 What is checked is what callers could see: nobody but the caller of a trial is ever caught, and nobody once
@@ -18,7 +18,7 @@
 
 SECONDS = 30.0
 STEP = 0.1  # seconds between requests at a door
-DIRECTORIES, DOORS = 3, 5
+REGISTRIES, DOORS = 3, 5
 CALLERS = ("kava", "kava-hearts", "kava hearts", "derwent")  # some begin alike
 SKEW = 0.5  # seconds that a door's system time may be off
 HELD_UP = 6.0  # seconds for which a cut may hold a message up
@@ -38,7 +38,7 @@
 
 @dataclass(slots=True)
 class Known:
-    """What a directory knows."""
+    """What a registry knows."""
 
     board: Board = field(default_factory=Board)
     read_at: float = -1e9
@@ -83,10 +83,10 @@
         self.now = 0.0
         self.order = itertools.count()
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
-        self.directories = [Known() for _ in range(DIRECTORIES)]
+        self.registries = [Known() for _ in range(REGISTRIES)]
         self.skew = [self.chance.uniform(-SKEW, SKEW) for _ in range(DOORS)]
         self.doors = [self.door() for _ in range(DOORS)]
-        self.cut: dict[tuple[str, int], float] = {}  # until when a directory or a door hears nobody
+        self.cut: dict[tuple[str, int], float] = {}  # until when a registry or a door hears nobody
         self.names = itertools.count()
 
     def door(self) -> Catch:
@@ -113,7 +113,7 @@
         self.later(far, what)
 
     def play(self) -> Run:
-        for number in range(DIRECTORIES):
+        for number in range(REGISTRIES):
             self.later(self.chance.uniform(0, READ), lambda n=number: self.reading(n))  # type: ignore[misc]
         for number in range(DOORS):
             self.later(self.chance.uniform(0, RENEW), lambda n=number: self.asking(n))  # type: ignore[misc]
@@ -137,8 +137,8 @@
         for trial in board.running:
             self.begun.setdefault(trial.name, self.now)
         self.core = board
-        for number in range(DIRECTORIES):
-            self.send(("directory", number), lambda n=number, b=board: self.told(n, b))  # type: ignore[misc]
+        for number in range(REGISTRIES):
+            self.send(("registry", number), lambda n=number, b=board: self.told(n, b))  # type: ignore[misc]
 
     def operate(self, chance: random.Random) -> None:
         if self.core.running and chance.random() < 0.4:
@@ -156,11 +156,11 @@
         except TrialError:
             return
 
-    # --- directories -----------------------------------------------------------------------------------
+    # --- registries -----------------------------------------------------------------------------------
 
     def told(self, number: int, board: Board) -> None:
         """A board that was pushed."""
-        known = self.directories[number]
+        known = self.registries[number]
         if board.version > known.board.version:
             known.board = board
             for door in range(DOORS):
@@ -168,7 +168,7 @@
 
     def reading(self, number: int) -> None:
         self.later(READ, lambda: self.reading(number))
-        known, asked = self.directories[number], self.now
+        known, asked = self.registries[number], self.now
 
         def answer(board: Board) -> None:
             self.told(number, board)
@@ -179,8 +179,8 @@
                     self.change(ended(self.core, name, "ivymux", "its time is over", self.now))
 
         self.send(
-            ("directory", number),
-            lambda: self.send(("directory", number), lambda b=self.core: answer(b)),  # type: ignore[misc]
+            ("registry", number),
+            lambda: self.send(("registry", number), lambda b=self.core: answer(b)),  # type: ignore[misc]
         )
 
     # --- doors -----------------------------------------------------------------------------------------
@@ -191,11 +191,11 @@
     def asking(self, number: int) -> None:
         self.later(RENEW, lambda: self.asking(number))
         door, asked = self.doors[number], self.now
-        for at in range(DIRECTORIES):
+        for at in range(REGISTRIES):
             self.send(("door", number), lambda n=at: self.question(number, door, n, asked))  # type: ignore[misc]
 
     def question(self, number: int, door: Catch, at: int, asked: float) -> None:
-        known = self.directories[at]
+        known = self.registries[at]
         if known.read_at < 0:
             return
         board, age = known.board, self.now - known.read_at
@@ -233,9 +233,9 @@
             self.broken.append(f"{seen.at:.2f}: {trial.name} runs from {trial.at:.2f} to {trial.until:.2f}")
 
     def trouble(self, chance: random.Random) -> None:
-        kind = chance.choice(("directory", "door", "anew"))
+        kind = chance.choice(("registry", "door", "anew"))
         if kind == "anew":
             self.doors[chance.randrange(DOORS)] = self.door()
             return
-        number = chance.randrange(DIRECTORIES if kind == "directory" else DOORS)
+        number = chance.randrange(REGISTRIES if kind == "registry" else DOORS)
         self.cut[kind, number] = self.now + chance.uniform(0.5, 10.0)
--- a/ivymux/trunk/line.py
+++ b/ivymux/transport/line.py
@@ -9,7 +9,7 @@
 from typing import Any, cast
 
 from ivymux.door.limits import Address
-from ivymux.trunk.frames import FrameError, Frames, Message, pack
+from ivymux.transport.frames import FrameError, Frames, Message, pack
 
 CONNECT_TIMEOUT = 0.8  # seconds
 PING = 0.7  # seconds without a word after which one is said
@@ -21,7 +21,7 @@
 MOST_HELD = 600  # connections that one listener holds
 
 
-class TrunkError(Exception):
+class TransportError(Exception):
     """A call that could not be carried: no connection, or no answer in time."""
 
 
@@ -95,9 +95,9 @@
             self.abort()
 
     async def call(self, message: Message, timeout: float) -> Message:
-        """Send a message that is answered by one with `re`.  Raises TrunkError."""
+        """Send a message that is answered by one with `re`.  Raises TransportError."""
         if not self.up:
-            raise TrunkError("not connected")
+            raise TransportError("not connected")
         number = next(self.numbers)
         waiting: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self.calls[number] = waiting
@@ -105,7 +105,7 @@
         try:
             return await asyncio.wait_for(waiting, timeout)
         except TimeoutError:
-            raise TrunkError("no answer in time") from None
+            raise TransportError("no answer in time") from None
         finally:
             self.calls.pop(number, None)
 
@@ -135,7 +135,7 @@
             self.timer.cancel()
         for waiting in self.calls.values():
             if not waiting.done():
-                waiting.set_exception(TrunkError("the connection ended"))
+                waiting.set_exception(TransportError("the connection ended"))
                 waiting.exception()  # seen, also where nobody waits any more
         self.calls.clear()
         if self.on_down is not None:
@@ -212,7 +212,7 @@
 
     async def call(self, message: Message, timeout: float) -> Message:
         if self.line is None or not self.line.up:
-            raise TrunkError("not connected")
+            raise TransportError("not connected")
         return await self.line.call(message, timeout)
 
     def close(self) -> None:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -47,6 +47,12 @@
         assert ivymux(*arguments).returncode == 2
 
 
+def test_a_role_by_its_former_name_is_told_its_new_one() -> None:
+    for former, name in (("switchboard", "proxy"), ("directory", "registry"), ("exchange", "config_store")):
+        done = subprocess.run([sys.executable, "-m", "ivymux", former], capture_output=True, text=True)
+        assert (done.returncode, done.stderr) == (2, f"ivymux: the role {former} is named {name} now\n")
+
+
 def test_routes_check(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     good = write(tmp_path, described(PATHS))
     assert main(["routes", "check", good]) == 0
--- a/tests/intercept/test_catch.py
+++ b/tests/intercept/test_catch.py
@@ -56,7 +56,7 @@
     met.renew(1, 4.0, 1.5)  # an answer that is old counts from when it was true
     assert met.find(4.0 + LEASE - 1.51, "kava", KEY, "", "", b"r")
     assert met.find(4.0 + LEASE - 1.5, "kava", KEY, "", "", b"r") is None
-    met.renew(0, 9.0, 0.0)  # the word of a directory that holds an older board is none
+    met.renew(0, 9.0, 0.0)  # the word of a registry that holds an older board is none
     assert met.find(9.1, "kava", KEY, "", "", b"r") is None
 
 
--- a/tests/switchboard/test_actions.py
+++ b/tests/proxy/test_actions.py
@@ -8,9 +8,9 @@
 import pytest
 
 from ivymux.door.front import Answer, BadRequest
-from ivymux.switchboard.actions import FIELD, action, again, answer_of, kept, key_of
-from ivymux.switchboard.claims import Claims
-from ivymux.trunk.line import Dialler, TrunkError
+from ivymux.proxy.actions import FIELD, action, again, answer_of, kept, key_of
+from ivymux.proxy.claims import Claims
+from ivymux.transport.line import Dialler, TransportError
 
 
 @pytest.mark.parametrize(
@@ -71,10 +71,13 @@
 @pytest.mark.parametrize(
     ("says", "status", "ends"),
     [
-        ([TrunkError("gone")], 503, True), ([{"ok": False}], 503, True), ([{"ok": True}], 503, True),
+        ([TransportError("gone")], 503, True), ([{"ok": False}], 503, True), ([{"ok": True}], 503, True),
         ([{"ok": True, "verdict": "answered", "after": 0, "answer": "{", "what": ""}], 503, True),
         ([{"ok": True, "verdict": "in hand", "after": 0.3, "answer": "", "what": ""}], 409, False),
-        ([TrunkError("x"), {"ok": True, "verdict": "go", "after": 0, "answer": "", "what": ""}], None, True),
+        (
+            [TransportError("x"), {"ok": True, "verdict": "go", "after": 0, "answer": "", "what": ""}],
+            None, True,
+        ),
     ],
 )  # fmt: skip
 def test_a_claim_that_was_not_granted_sends_nothing_and_is_ended_as_not_run(
--- a/tests/switchboard/test_claimed.py
+++ b/tests/proxy/test_claimed.py
@@ -12,8 +12,8 @@
 from ivymux.door.front import Answer, Call
 from ivymux.door.host import Host, Open
 from ivymux.door.upstream import Result
-from ivymux.switchboard.module import module_settings
-from ivymux.switchboard.style import style
+from ivymux.proxy.module import module_settings
+from ivymux.proxy.style import style
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
 
--- a/tests/switchboard/test_counter.py
+++ b/tests/proxy/test_counter.py
@@ -9,10 +9,10 @@
 import pytest
 
 from ivymux.door.limits import Address
-from ivymux.switchboard.counter import HeldCounter
-from ivymux.switchboard.counts import Counts
-from ivymux.switchboard.holders import Holders
-from ivymux.trunk.line import Line, Listener
+from ivymux.proxy.counter import HeldCounter
+from ivymux.proxy.counts import Counts
+from ivymux.proxy.holders import Holders
+from ivymux.transport.line import Line, Listener
 from orchidhill.interface import Count, Counted, Late, Outcome
 
 from ..sockets import run, until
--- a/tests/switchboard/test_roll.py
+++ b/tests/proxy/test_roll.py
@@ -1,12 +1,12 @@
-"""What a door makes of its directories' words; who holds counts; system time."""
+"""What a door makes of its registries' words; who holds counts; system time."""
 
 from __future__ import annotations
 
 from typing import Any
 
+from ivymux.proxy.holders import AWAY, SEATS, SETTLED, Holders
+from ivymux.proxy.roll import LOST, OFF, QUIESCING, UP, Roll
 from ivymux.station.clock import SystemClock
-from ivymux.switchboard.holders import AWAY, SEATS, SETTLED, Holders
-from ivymux.switchboard.roll import LOST, OFF, QUIESCING, UP, Roll
 
 
 def line(id: str, state: str, seq: int, address: str = "10.0.0.9:80", service: str = "archive") -> list[Any]:
@@ -46,7 +46,7 @@
     assert roll.backends["i-1"].state == OFF
 
 
-def test_a_backend_outlives_its_directory_for_a_while() -> None:
+def test_a_backend_outlives_its_registry_for_a_while() -> None:
     roll = Roll()
     told(roll, "a", line("i-1", UP, 1), now=0.0)
     told(roll, "b", now=0.0)
@@ -62,7 +62,7 @@
     assert roll.backends["i-2"].state == UP
 
 
-def test_doors_are_those_that_any_directory_sees() -> None:
+def test_doors_are_those_that_any_registry_sees() -> None:
     roll = Roll()
     roll.snapshot("a", "r", 0, True, [], [["d1", "10.0.0.1", 7, "hall", 5.0]], 0.0)
     roll.snapshot(
@@ -105,7 +105,7 @@
     holders.use({**doors, back: 20.0}, 20.1)
     assert {name: holders.holder(name, name, 20.0 + SETTLED - 0.1) for name in range(600)} == without
     assert max(holders.changed_at) == 10.0  # nothing that had begun has moved
-    holders.use({**doors, back: 20.4}, 20.5)  # as another directory tells it: the same
+    holders.use({**doors, back: 20.4}, 20.5)  # as another registry tells it: the same
     holders.named.clear()
     assert {name: holders.holder(name, name, 20.0 + SETTLED + 0.1) for name in range(600)} == before
     # It opens what began just behind as if it were spent: some may not have heard of it.
--- a/tests/switchboard/test_start.py
+++ b/tests/proxy/test_start.py
@@ -11,9 +11,9 @@
 from ivymux.door.front import Answer
 from ivymux.door.limits import Address, Bounds
 from ivymux.door.server import Server
+from ivymux.proxy.pages import READINESS, PagesFront
 from ivymux.station.early import fitting, front
-from ivymux.switchboard.pages import READINESS, PagesFront
-from ivymux.trunk.line import RETRY_MOST, RETRY_SOON, SOON, pause
+from ivymux.transport.line import RETRY_MOST, RETRY_SOON, SOON, pause
 
 from ..sockets import run
 
--- a/tests/directory/test_applied.py
+++ b/tests/registry/test_applied.py
@@ -5,20 +5,20 @@
 import asyncio
 from pathlib import Path
 
-from ivymux.directory.program import Directory
+from ivymux.registry.program import Registry
 from ivymux.station.settings import load
 from ivymux.testdesk.lab import Lab
-from ivymux.trunk.frames import Frames, Message
-from ivymux.trunk.line import Line
+from ivymux.transport.frames import Frames, Message
+from ivymux.transport.line import Line
 
 from ..sockets import run, until
 
 
-def met(directory: Directory, number: int) -> Line:
-    """A door's connection, as far as the directory can tell."""
-    line = Line(directory.heard, on_down=directory.lost)
+def met(registry: Registry, number: int) -> Line:
+    """A door's connection, as far as the registry can tell."""
+    line = Line(registry.heard, on_down=registry.lost)
     line.up = True
-    directory.hear(
+    registry.hear(
         line,
         {"k": "door", "id": f"d{number}", "ip": "127.0.0.9", "port": 1, "zone": "hall", "run": "", "n": 0},
     )
@@ -28,29 +28,29 @@
 def test_a_call_waits_until_each_connected_door_has_the_configuration(tmp_path: Path) -> None:
     async def test() -> None:
         lab = Lab(tmp_path)
-        directory = Directory(load(lab.settings(lab.cores[0], True)))
-        lines = [met(directory, number) for number in range(3)]
+        registry = Registry(load(lab.settings(lab.cores[0], True)))
+        lines = [met(registry, number) for number in range(3)]
 
         async def call(version: int) -> None:
-            await directory.all_apply(version, 30.0)
+            await registry.all_apply(version, 30.0)
 
         waiting = asyncio.create_task(call(7))
-        await until(lambda: directory.applied)
-        directory.hear(lines[0], {"k": "have", "v": 7})
-        directory.hear(lines[1], {"k": "have", "v": 6})
+        await until(lambda: registry.applied)
+        registry.hear(lines[0], {"k": "have", "v": 7})
+        registry.hear(lines[1], {"k": "have", "v": 6})
         await asyncio.wait([waiting], timeout=0)
         assert not waiting.done()
-        directory.hear(lines[1], {"k": "have", "v": 9})  # a later one holds what this one asks for
+        registry.hear(lines[1], {"k": "have", "v": 9})  # a later one holds what this one asks for
         await asyncio.wait([waiting], timeout=0)
         assert not waiting.done()
         lines[2].abort()  # a door that is gone is waited for no more
         await waiting
-        assert not directory.applied
+        assert not registry.applied
         await call(7)  # the same again: all have it
         # A door that does not answer holds a call up for a bounded time only.
-        await directory.all_apply(10, 0.0)
-        assert not directory.applied
-        await directory.stop()
+        await registry.all_apply(10, 0.0)
+        assert not registry.applied
+        await registry.stop()
         await lab.close()
 
     run(test())
@@ -70,21 +70,21 @@
 
     async def test() -> None:
         lab = Lab(tmp_path)
-        directory = Directory(load(lab.settings(lab.cores[0], True)))
-        first = Heard(directory.heard, on_down=directory.lost)
+        registry = Registry(load(lab.settings(lab.cores[0], True)))
+        first = Heard(registry.heard, on_down=registry.lost)
         first.told = []
         first.up = True
-        directory.welcome(first, {"id": "d", "ip": "127.0.0.8", "port": 1, "zone": "hall", "run": "", "n": 0})
+        registry.welcome(first, {"id": "d", "ip": "127.0.0.8", "port": 1, "zone": "hall", "run": "", "n": 0})
         first.told.clear()
-        lines = [met(directory, number) for number in range(40)]
+        lines = [met(registry, number) for number in range(40)]
         lines[7].abort()
-        await until(lambda: not directory.stirred and directory.stirring is None)
+        await until(lambda: not registry.stirred and registry.stirring is None)
         doors = [message for message in first.told if message["k"] == "doors"]
         assert len(doors) <= 2
         there = {f"d{number}" for number in range(40)} - {"d7"}
         assert {entry[0] for message in doors for entry in message["on"]} - {"d", "d7"} == there
         assert doors[-1]["off"] == ["d7"]
-        await directory.stop()
+        await registry.stop()
         await lab.close()
 
     run(test())
--- a/tests/directory/test_calls.py
+++ b/tests/registry/test_calls.py
@@ -6,8 +6,8 @@
 import json
 from pathlib import Path
 
-from ivymux.directory.program import Directory
-from ivymux.directory.register import UP
+from ivymux.registry.program import Registry
+from ivymux.registry.register import UP
 from ivymux.station.settings import load
 from ivymux.testdesk.lab import Lab
 
@@ -25,27 +25,27 @@
 def test_a_call_cut_at_any_byte_changes_nothing(tmp_path: Path) -> None:
     async def test() -> None:
         lab = Lab(tmp_path)
-        directory = Directory(load(lab.settings(lab.cores[0], True)))
-        await directory.start()
-        listen = directory.server.listen
+        registry = Registry(load(lab.settings(lab.cores[0], True)))
+        await registry.start()
+        listen = registry.server.listen
         for size in range(len(CALL)):
             reader, writer = await asyncio.open_connection(listen.host, listen.port)
             writer.write(CALL[:size])
             writer.write_eof()
             assert b" 200 " not in await reader.read()
             writer.close()
-        await until(lambda: not directory.server.clients)
-        assert not directory.register.records and directory.register.number == 0
+        await until(lambda: not registry.server.clients)
+        assert not registry.register.records and registry.register.number == 0
         # One byte of the body short, and the connection stays: nothing is done before the call is whole.
         reader, writer = await asyncio.open_connection(listen.host, listen.port)
         writer.write(CALL[:-1])
-        await until(lambda: any(client.headed for client in directory.server.clients))
-        assert not directory.register.records
+        await until(lambda: any(client.headed for client in registry.server.clients))
+        assert not registry.register.records
         writer.write(CALL[-1:])
         assert b" 200 " in await reader.readline()
-        assert directory.register.records["i-1"].state == UP
+        assert registry.register.records["i-1"].state == UP
         writer.close()
-        await directory.stop()
+        await registry.stop()
         await lab.close()
 
     run(test())
--- a/tests/directory/test_grey.py
+++ b/tests/registry/test_grey.py
@@ -5,13 +5,13 @@
 import asyncio
 from pathlib import Path
 
-from ivymux.directory.grey import FIRST, LEAST, MOST, PART, Grey
-from ivymux.directory.program import Directory
+from ivymux.proxy.doubts import Doubts, doubtful
+from ivymux.registry.grey import FIRST, LEAST, MOST, PART, Grey
+from ivymux.registry.program import Registry
 from ivymux.station.settings import load
-from ivymux.switchboard.doubts import Doubts, doubtful
 from ivymux.testdesk.lab import Lab
-from ivymux.trunk.frames import Frames, Message
-from ivymux.trunk.line import Line
+from ivymux.transport.frames import Frames, Message
+from ivymux.transport.line import Line
 from orchidhill.interface import Outcome
 
 from ..sockets import run, until
@@ -86,28 +86,28 @@
         self.told.extend(m for m in Frames().feed(data) if m["k"] == "shun")
 
 
-def test_a_directory_tells_all_doors_of_a_backend_that_several_met(tmp_path: Path) -> None:
+def test_a_registry_tells_all_doors_of_a_backend_that_several_met(tmp_path: Path) -> None:
     async def test() -> None:
         lab = Lab(tmp_path)
-        directory = Directory(load(lab.settings(lab.cores[0], True)))
+        registry = Registry(load(lab.settings(lab.cores[0], True)))
         lines = []
         for number in range(3):
-            line = Heard(directory.heard, on_down=directory.lost)
+            line = Heard(registry.heard, on_down=registry.lost)
             line.up, line.told = True, []
-            directory.welcome(
+            registry.welcome(
                 line, {"id": f"d{number}", "ip": "127.0.0.8", "port": 1, "zone": "hall", "run": "", "n": 0}
             )
             lines.append(line)
         for number in range(4):
             body = {"service_name": "desk", "address": f"10.0.0.{number}:80", "zone_name": "hall",
                     "capacity": 2, "oper_state": "in_service", "call_seq": 1}  # fmt: skip
-            directory.register.beat(f"i-{number}", body, 0.0)
+            registry.register.beat(f"i-{number}", body, 0.0)
         for line in lines[:2]:
-            directory.heard(line, {"k": "doubt", "l": [["i-0", 2], ["none", 1]]})
+            registry.heard(line, {"k": "doubt", "l": [["i-0", 2], ["none", 1]]})
         assert [line.told for line in lines] == [[{"k": "shun", "id": "i-0", "for": FIRST}]] * 3
-        directory.heard(lines[0], {"k": "doubt", "l": [["i-0", 0]]})
-        assert not lines[0].up and directory.spoilt == 1
-        await directory.stop()
+        registry.heard(lines[0], {"k": "doubt", "l": [["i-0", 0]]})
+        assert not lines[0].up and registry.spoilt == 1
+        await registry.stop()
         await lab.close()
 
     run(test())
--- a/tests/directory/test_register.py
+++ b/tests/registry/test_register.py
@@ -1,4 +1,4 @@
-"""The registry of one directory: late calls, planned ends, silence, and news for doors that come again."""
+"""What one registry knows: late calls, planned ends, silence, and news for doors that come again."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 import pytest
 
-from ivymux.directory.register import LOST, OFF, QUIESCING, UP, CallError, Register
+from ivymux.registry.register import LOST, OFF, QUIESCING, UP, CallError, Register
 
 
 def call(seq: int, state: str = "in_service", **changes: Any) -> dict[str, Any]:
--- a/tests/system/test_path.py
+++ b/tests/system/test_path.py
@@ -227,7 +227,7 @@
             import sys
 
             door = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "ivymux", "switchboard", "--settings", str(path),
+                sys.executable, "-m", "ivymux", "proxy", "--settings", str(path),
                 stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
             )  # fmt: skip
             told, _ = await door.communicate()
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -6,7 +6,7 @@
 
 from ivymux.door.departures import BOUND, Departures, OnDeparture
 from ivymux.door.front import Answer
-from ivymux.switchboard.pages import METRICS, PagesFront, metrics_text
+from ivymux.proxy.pages import METRICS, PagesFront, metrics_text
 
 
 def test_what_is_left_and_how_its_attempts_end_is_told_once() -> None:
--- a/tests/testdesk/faulty.py
+++ b/tests/testdesk/faulty.py
@@ -14,9 +14,9 @@
 from ivymux.door.front import Answer, BadRequest
 from ivymux.door.host import Host
 from ivymux.door.upstream import Attempt
-from ivymux.switchboard.front import SystemFront
-from ivymux.switchboard.program import Door
-from ivymux.switchboard.style import SystemStyle
+from ivymux.proxy.front import SystemFront
+from ivymux.proxy.program import Door
+from ivymux.proxy.style import SystemStyle
 from orchidhill import interface as i
 from orchidhill.interface import Outcome, State
 from orchidhill.switch import Switch
@@ -184,6 +184,6 @@
     from ivymux.station.program import main
 
     fault, role = sys.argv[1], sys.argv[2]
-    if role == "switchboard":
+    if role == "proxy":
         FAULTS[fault]()
     sys.exit(main(role, sys.argv[3:], None))
--- a/tests/trunk/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ivymux.trunk.frames import FrameError, Frames, Message, pack
+from ivymux.transport.frames import FrameError, Frames, Message, pack
 
 
 def test_messages_come_whole_however_they_are_cut() -> None:
--- a/tests/trunk/test_replaced.py
+++ b/tests/transport/test_replaced.py
@@ -7,8 +7,8 @@
 
 import pytest
 
-from ivymux.trunk.frames import pack
-from ivymux.trunk.line import Line, TrunkError
+from ivymux.transport.frames import pack
+from ivymux.transport.line import Line, TransportError
 
 
 class Silent(asyncio.Transport):
@@ -39,7 +39,7 @@
         first = asyncio.create_task(old.call({"k": "claim", "key": "first"}, 5.0))
         await asyncio.sleep(0)
         old.connection_lost(None)
-        with pytest.raises(TrunkError):
+        with pytest.raises(TransportError):
             await first
         new = connected()
         second = asyncio.create_task(new.call({"k": "claim", "key": "second"}, 5.0))
