Proxy: the connection to a core machine and the door's figures are modules of their own

Cause: proxy/program.py had grown to 475 lines, with two jobs besides the door's wiring. Measured: tests/proxy, test_path, test_leaving, test_departures, test_project passed.

--- /dev/null
+++ b/ivymux/proxy/metrics.py
@@ -0,0 +1,39 @@
+"""A door's figures, as operators and scrapers fetch them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from ivymux.proxy.program import Door
+
+PREFIX = "ivymux_proxy"
+
+
+def figures(door: Door) -> dict[str, float]:
+    """Counts since the start end in `_total`; the others are of this moment."""
+    host, departures = door.host, door.host.departures
+    return {
+        "config_version": door.version,
+        "in_touch": door.touch,
+        "doors": len(door.holders.came),
+        "requests_total": host.number,
+        "requests_open": host.waiting,
+        "requests_kept": len(host.table),
+        "clients": len(door.server.clients),
+        "backend_connections": host.upstream.open,
+        "further_tries_spared_total": door.switch.spared,
+        "departed_requests_total": departures.requests,
+        "departed_attempts_total": departures.attempts,
+        "departed_unwritten_total": departures.unwritten,
+        "departed_cancelled_total": departures.cancelled,
+        "departed_overran_total": departures.overran,
+        "departed_longest_seconds": departures.longest,
+        **{f"refused_{cause}_total": count for cause, count in host.told.refusals.counts.items()},
+    }
+
+
+def metrics_text(values: Mapping[str, float]) -> bytes:
+    """One figure a line, `ivymux_proxy_NAME VALUE`, as scrapers of plain text read them."""
+    return "".join(f"{PREFIX}_{name} {value:.10g}\n" for name, value in values.items()).encode()
--- a/ivymux/proxy/pages.py
+++ b/ivymux/proxy/pages.py
@@ -43,8 +43,3 @@
         return b"HTTP/1.1 %d %s\r\ncontent-length: %d\r\n%s\r\n%s" % (
             answer.status, reason, len(answer.body), end, answer.body
         )  # fmt: skip
-
-
-def metrics_text(figures: Mapping[str, float]) -> bytes:
-    """One figure a line, `ivymux_proxy_NAME VALUE`, as scrapers of plain text read them."""
-    return "".join(f"ivymux_proxy_{name} {value:.10g}\n" for name, value in figures.items()).encode()
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -16,13 +16,15 @@
 from ivymux.door.upstream import Upstream
 from ivymux.intercept import TRIALS
 from ivymux.numbering.plan import PlanError, plan_of
+from ivymux.proxy.core_connection import CoreConnection
 from ivymux.proxy.counter import HeldCounter
 from ivymux.proxy.counts import Counts
 from ivymux.proxy.doubts import Doubts, WatchedHost
 from ivymux.proxy.front import SystemFront
 from ivymux.proxy.holders import Holders
+from ivymux.proxy.metrics import figures, metrics_text
 from ivymux.proxy.module import CONNECT_TIMEOUT, COUNTER_TIMEOUT, module_settings
-from ivymux.proxy.pages import METRICS, READINESS, PagesFront, metrics_text
+from ivymux.proxy.pages import METRICS, READINESS, PagesFront
 from ivymux.proxy.roll import LOST, OFF, UP, Backend, DoorPlace, Roll, RollError
 from ivymux.proxy.style import style
 from ivymux.proxy.tables import Tables
@@ -32,7 +34,7 @@
 from ivymux.station.settings import Settings
 from ivymux.ticket import CONVERSATIONS
 from ivymux.transport.frames import Message
-from ivymux.transport.line import Dialler, Line, Listener
+from ivymux.transport.line import Dialler, Listener
 from orchidhill import interface as i
 from orchidhill.interface import State
 from orchidhill.switch import SILENT, Switch, Terms
@@ -43,7 +45,6 @@
     from orchidhill.gateway import Gateway
 
 IDLE = 10.0  # seconds that a backend is taken to keep an idle connection, where it says nothing
-NEAR_FIRST = 0.1  # seconds for which a door waits for the configuration from its own zone
 SWEEP = 0.5
 UNREAD = 0.5  # for which clients may wait for a door's first configuration; they give up after a second
 READY_AFTER = 0.15  # seconds after the first configuration: the list of doors comes with it
@@ -52,107 +53,11 @@
 HELD_PART = 1 / 4  # of the memory, for answers that are coming in
 LATER = 1.0  # seconds after which that is read at a door that has had no action with a key
 COUNTED = 24  # sweeps
-MOST_SHUN = 10.0  # seconds for which a door leaves a backend alone by the core's word
 COLD = 3.0  # seconds that a backend is slow from its start
 
 log = Log("proxy")
 
 
-class Core:
-    """The connection to one core machine's registry."""
-
-    def __init__(self, door: Door, ip: str) -> None:
-        self.door, self.ip = door, ip
-        self.version, self.zone = -1, ""
-        self.asked_at = 0.0
-        address = Address(ip, door.settings.registry_port)
-        self.line = Dialler(address, self.heard, on_up=self.up, on_down=self.down)
-
-    def up(self, line: Line) -> None:
-        source = self.door.roll.source(self.ip)
-        settings = self.door.settings
-        line.send(
-            {"k": "door", "id": self.door.id, "ip": settings.ip, "port": settings.door_port,
-             "zone": settings.zone, "run": source.run, "n": source.number, "age": self.door.age()}
-        )  # fmt: skip
-
-    def down(self, line: Line) -> None:
-        if self.door.roll.source(self.ip).up:
-            self.door.roll.lost(self.ip, time.monotonic())
-            self.door.clock.forget(self.ip)
-            self.door.changed()
-
-    def heard(self, line: Line, message: Message) -> None:
-        try:
-            self.hear(line, message)
-        except (KeyError, TypeError, ValueError) as error:
-            self.door.spoilt += 1
-            if self.door.spoilt in (1, 10, 100, 1000):
-                log.say(f"a message that no registry sends ended its connection: {error}.")
-            line.abort()
-
-    def hear(self, line: Line, message: Message) -> None:
-        door, kind, now = self.door, message["k"], time.monotonic()
-        if kind == "news":
-            if not door.roll.news(self.ip, int(message["f"]), int(message["n"]), message["i"], now):
-                self.up(line)  # a gap: what is missing comes with its answer
-                return
-            door.changed()
-            line.send({"k": "ack", "n": message["n"]})
-        elif kind == "here":
-            self.zone, self.version = str(message["zone"]), int(message["v"])
-            door.clock.hear(self.ip, float(message["t"]), now)
-            door.roll.snapshot(
-                self.ip, str(message["run"]), int(message["n"]), message["whole"] is True, message["i"],
-                message["doors"], now,
-            )  # fmt: skip
-            door.meet(message["cores"])
-            door.changed()
-            line.send({"k": "ack", "n": message["n"]})
-            self.have()
-            self.want()
-        elif kind == "doors":
-            door.roll.told_doors(self.ip, message["on"], message["off"], now)
-            door.changed()
-        elif kind == "shun":
-            if number := door.number(str(message["id"])):
-                door.host.post(i.Shun(number, min(MOST_SHUN, float(message["for"]))))
-        elif kind == "cores":
-            door.meet(message["l"])
-        elif kind == "note":
-            door.note(str(message["name"]), str(message["t"]))
-        elif kind == "config":
-            self.version = int(message["v"])
-            if self.version <= door.version:
-                self.have()
-            self.want()
-        elif kind == "text":
-            door.apply(int(message["v"]), str(message["t"]))
-            for core in door.cores.values():  # any of them may be the one that answers the operator
-                core.have()
-
-    def have(self) -> None:
-        """Acknowledge the configuration that is in force here."""
-        if self.door.version >= 0 and self.line.up:
-            self.line.send({"k": "have", "v": self.door.version})
-
-    def want(self, late: bool = False) -> None:
-        """Ask for a configuration that this door lacks: at its own zone's core machine first."""
-        door = self.door
-        if self.version <= door.version or not self.line.up:
-            return
-        near = any(c.zone == door.settings.zone and c.line.up for c in door.cores.values())
-        if self.zone != door.settings.zone and near and not late:
-            door.loop.call_later(NEAR_FIRST, self.want, True)
-            return
-        now = time.monotonic()
-        if now - door.asked_at < NEAR_FIRST and door.asked_version >= self.version:
-            door.loop.call_later(NEAR_FIRST, self.want, True)
-            return
-        door.asked_at, door.asked_version = now, self.version
-        self.line.send({"k": "want"})
-
-
 class Door:
     def __init__(self, settings: Settings, waiting: socket.socket | None = None) -> None:
         """`waiting`: where clients wait already."""
@@ -199,7 +104,7 @@
             address = Address(settings.ip, settings.metrics_port)
             self.metrics_server = Server(PagesFront({METRICS: self.metrics}), address, own_bounds, None)
         self.listener = Listener(self.counter.asked)
-        self.cores: dict[str, Core] = {}
+        self.cores: dict[str, CoreConnection] = {}
         self.version, self.applied_at = -1, 0.0
         self.asked_at, self.asked_version = 0.0, -1
         self.ids: dict[int, bytes] = {}
@@ -223,19 +128,7 @@
         return Answer(200 if self.ready() else 503)
 
     def metrics(self) -> Answer:
-        host, departures = self.host, self.host.departures
-        figures: dict[str, float] = {
-            "config_version": self.version, "in_touch": self.touch, "doors": len(self.holders.came),
-            "requests_total": host.number, "requests_open": host.waiting, "requests_kept": len(host.table),
-            "clients": len(self.server.clients), "backend_connections": host.upstream.open,
-            "further_tries_spared_total": self.switch.spared,
-            "departed_requests_total": departures.requests, "departed_attempts_total": departures.attempts,
-            "departed_unwritten_total": departures.unwritten,
-            "departed_cancelled_total": departures.cancelled,
-            "departed_overran_total": departures.overran, "departed_longest_seconds": departures.longest,
-            **{f"refused_{cause}_total": count for cause, count in host.told.refusals.counts.items()},
-        }  # fmt: skip
-        return Answer(200, metrics_text(figures))
+        return Answer(200, metrics_text(figures(self)))
 
     def instance(self, backend: int) -> bytes:
         return self.ids.get(backend, b"gone")
@@ -330,7 +223,7 @@
         for ip in cores:
             if ip not in self.cores and len(self.cores) < 32:
                 parse_address(f"{ip}:1")
-                self.cores[ip] = Core(self, ip)
+                self.cores[ip] = CoreConnection(self, ip)
         told = {ip for c in self.cores.values() if c.line.up for ip in cores}
         for ip, core in list(self.cores.items()):
             if core.line.tried > 60 and ip not in told:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -6,7 +6,8 @@
 
 from ivymux.door.departures import BOUND, Departures, OnDeparture
 from ivymux.door.front import Answer
-from ivymux.proxy.pages import METRICS, PagesFront, metrics_text
+from ivymux.proxy.metrics import metrics_text
+from ivymux.proxy.pages import METRICS, PagesFront
 
 
 def test_what_is_left_and_how_its_attempts_end_is_told_once() -> None:
