--- a/ivymux/testdesk/day.py
+++ b/ivymux/testdesk/day.py
@@ -144,6 +144,13 @@
     ready: bool
 
 
+class Stalled(Line, frozen=True, tag="stalled"):
+    """Who wrote all this down stood still: what is said to have been seen then may have been earlier."""
+
+    at: float
+    seconds: float
+
+
 class Told(Line, frozen=True, tag="told"):
     """How a change was answered in the end."""
 
@@ -170,7 +177,7 @@
 
 
 Doing = Ask | Change | Kill | Start | Leave | Spoil
-Seen = Answered | Ran | Ended | Departed | Ready | Told | Left | Read
+Seen = Answered | Ran | Ended | Departed | Ready | Stalled | Told | Left | Read
 LINES = msgspec.json.Decoder(Day | Doing | Seen)
 DOING = (Ask, Change, Kill, Start, Leave, Spoil)
 
--- a/ivymux/testdesk/replay.py
+++ b/ivymux/testdesk/replay.py
@@ -35,6 +35,7 @@
     Ready,
     Seen,
     Spoil,
+    Stalled,
     Start,
     Told,
 )  # fmt: skip
@@ -46,6 +47,7 @@
 QUIET = 2.5  # seconds after the last event for answers that are on their way
 MOST_BODY = 500
 SLOW_WORK = 1.5  # seconds that a slow backend takes for a request
+STALL, STALL_LOOK = 0.15, 0.05  # seconds late that count as a stall, between looks for one
 LOOK = 0.5  # seconds between questions whether a door takes clients
 
 
@@ -118,6 +120,7 @@
         self.began = self.loop.time()
         self.seen.append(Told(0.0, 0.0, FIRST, 200))
         looking = [self.loop.create_task(self.look(door)) for door in range(len(self.lab.doors))]
+        looking.append(self.loop.create_task(self.notice_stalls()))
         tasks = [self.loop.create_task(self.do_at(event)) for event in self.doing]
         await asyncio.gather(*tasks)
         await self.read()
@@ -149,6 +152,14 @@
         kind, _, number = machine.partition("-")
         return (self.lab.cores if kind == "core" else self.lab.doors)[int(number)]
 
+    async def notice_stalls(self) -> None:
+        """Write down when this process itself stood still, as on a machine that is too full."""
+        while True:
+            before = self.now()
+            await asyncio.sleep(STALL_LOOK)
+            if (late := self.now() - before - STALL_LOOK) > STALL:
+                self.seen.append(Stalled(round(before, 4), round(late + STALL_LOOK, 4)))
+
     async def look(self, door: int) -> None:
         """Ask a door again and again whether it takes clients; what has changed is written down."""
         was = None
--- a/ivymux/testdesk/rules/history.py
+++ b/ivymux/testdesk/rules/history.py
@@ -20,6 +20,7 @@
     Ran,
     Ready,
     Seen,
+    Stalled,
     Start,
 )  # fmt: skip
 
@@ -51,6 +52,7 @@
     readiness: dict[int, list[Ready]]  # by door
     kills: list[Kill]
     starts: list[Start]
+    stalls: list[Stalled]
     leaving: set[str]  # backends that leave on this day
 
     @classmethod
@@ -76,6 +78,7 @@
             ended, readiness,
             [e for e in doing if isinstance(e, Kill)],
             [e for e in doing if isinstance(e, Start)],
+            [line for line in seen if isinstance(line, Stalled)],
             {e.backend for e in doing if isinstance(e, Leave)},
         )  # fmt: skip
 
@@ -88,8 +91,13 @@
         return kills + [start.at for start in self.starts if machine in ("", start.machine)]
 
     def calm(self, since: float, until: float | None = None) -> bool:
-        """Whether no machine was killed or started from CONTACT before a moment, or a span, to its end."""
+        """Whether no machine was killed or started from CONTACT before a moment, or a span, to its end.
+
+        Nor did who wrote the history down stand still in the span.
+        """
         end = since if until is None else until
+        if any(stall.at <= end and stall.at + stall.seconds >= since for stall in self.stalls):
+            return False
         return not any(since - CONTACT <= at <= end for at in self.troubles())
 
     def work_ended(self, run: Ran) -> float:
--- a/ivymux/testdesk/rules/load.py
+++ b/ivymux/testdesk/rules/load.py
@@ -16,6 +16,7 @@
 TOLD_TIME = 2  # the form of days from which on backends tell what time they were given
 TIME_SLACK, TIME_FEW, TIME_SHARE = 0.5, 20, 0.2
 LATE_SLACK = 0.5  # seconds behind its deadline by which a request has its answer
+LATE_FEW, LATE_SHARE = 8, 0.25  # so many, and this share of those that are unanswered at their deadline
 STARVED, STARVED_LEAST = 0.25, 20
 
 
@@ -84,7 +85,7 @@
 
 
 def overdue(history: History) -> Iterable[Breach]:
-    """Of the requests unanswered at their deadline, more than half without an answer half a second later."""
+    """Requests unanswered at their deadline that have no answer half a second later either."""
     unanswered, late = 0, []
     for id, answer in history.answers.items():
         ask = history.asks.get(id)
@@ -94,7 +95,7 @@
         unanswered += took > ask.waits
         if took > ask.waits + LATE_SLACK:
             late.append(id)
-    if len(late) > unanswered / 2:
+    if len(late) >= LATE_FEW and len(late) > LATE_SHARE * unanswered:
         yield Breach(
             "CONFIG", late[0], f"{len(late)} of {unanswered} unanswered {LATE_SLACK} s past their time"
         )
