--- a/ivymux/config_store/timing.py
+++ b/ivymux/config_store/timing.py
@@ -7,9 +7,7 @@
 BACKUP_SILENCE = 1.0  # without a word after which the backup counts as lost
 JOIN_INTERVAL = 0.3  # between the requests of a machine that would be a member
 DISK_PATIENCE = 2.0  # for which what is on the primary's disk waits for the backup's; a slow commit takes 0.5
-DISK_DISTRUST = (
-    20.0  # for which a member whose disk did not answer so long is made backup only without choice
-)
+DISK_DISTRUST = 20.0  # for which such a member is made the backup only where nobody else can be
 MEMBER_SILENCE = 2.5  # without a word after which a member is let out, where others suffice
 RETRY = 0.35  # after which what is asked for a new epoch, or of the backup, is asked again
 TRANSFER_RETRY = 0.45  # the same of a whole state, which may be large; below BACKUP_SILENCE twice
--- a/tests/testdesk/test_seeded_rules.py
+++ b/tests/testdesk/test_seeded_rules.py
@@ -37,7 +37,8 @@
     all_slow = [Spoil(4.3, f"desk-{n}", "slow", 16) for n in range(2)]  # no other has an answer in time
     last = [Spoil(SECONDS - 0.6, f"desk-{n}", "slow", 12) for n in range(2)]
     return [
-        *events, *slow, *all_slow, *last, *spoilt, *unsealed, Change(3.2, 0, 5, {"read": "desk", "sign": "desk"}),
+        *events, *slow, *all_slow, *last, *spoilt, *unsealed,
+        Change(3.2, 0, 5, {"read": "desk", "sign": "desk"}),
         Leave(0.6, "desk-2", stays=4.0), Kill(SECONDS - 0.2, "door-0", "term"),
     ]  # fmt: skip
 
