--- a/bench/control_days.py
+++ b/bench/control_days.py
@@ -1,7 +1,8 @@
 """Days of the users' bench on which the control side is at its worst, for `python -m bench.pairs --set`.
 
 `control`: the five points that the users name, each with several forms.  `kinds`: every kind of trouble that
-may come on any deployment, alone and with each trouble of the core.
+may come on any deployment, alone and with each trouble of the core.  `leaving`: clients that do not wait for
+their answers while backends are crowded, beside each other kind.
 """
 
 from __future__ import annotations
@@ -162,6 +163,37 @@
     {"kind": "roll_term", "on": "core", "x": 1.0, "gap_s": 2.0},
 )
 
+CROWDED: tuple[Trouble, ...] = (
+    {"at": START, "kind": "burst", "x": 2.2, "for_s": 9.0},
+    {"at": START, "kind": "give_up", "share": 0.5, "for_s": 12.0},
+)
+BESIDE: tuple[Trouble, ...] = (
+    {"kind": "hot_tenant", "x": 6.0, "for_s": 6.0},
+    {"kind": "srv_crash", "how": "dark", "share": 0.3, "for_s": 5.0},
+    {"kind": "srv_crash", "how": "gone", "share": 0.2},
+    {"kind": "release", "share": 0.5, "x": 1.0, "gap_s": 1.0},
+    {"kind": "scale_in", "share": 0.2},
+    {"kind": "answer_lost", "share": 0.5, "x": 0.05, "for_s": 6.0},
+    {"kind": "garble", "how": "extra", "share": 0.5, "x": 0.05, "for_s": 6.0},
+    {"kind": "roll_term", "how": "busy", "gap_s": 1.2},
+    {"kind": "herd_kill", "share": 0.5, "for_s": 1.5, "how": ""},
+    {"kind": "node_cut", "share": 0.3, "for_s": 4.0},
+    {"kind": "node_cut", "how": "servers", "share": 0.3, "for_s": 4.0},
+    {"kind": "clock_step", "share": 0.4, "x": 3000, "for_s": 4.0},
+    {"kind": "core_cut", "how": "all leader", "for_s": 5.0},
+    {"kind": "revoke", "count": 3, "gap_s": 1.0},
+    {"kind": "config_change", "how": "quota"},
+)
+
+
+def leaving_days() -> tuple[Day, ...]:
+    """Clients that leave crowded backends, alone and beside each kind of trouble."""
+    days = [Day("leaving", CROWDED)]
+    for trouble in (*KINDS, *BESIDE):
+        label = f"leaving + {trouble['kind']} {trouble.get('how', '')}".strip()
+        days.append(Day(label, (*CROWDED, {"at": SECOND, **trouble})))
+    return tuple(days)
+
 
 def kinds_with_core_troubles() -> tuple[Day, ...]:
     """Each kind alone, then beside each trouble of the core."""
