Review: the stand-ins try ports on loopback addresses alone

Cause: a case names loopback addresses only; the search for free ports bound the wildcard address. Change: review/harness.py.

--- a/review/harness.py
+++ b/review/harness.py
@@ -55,13 +55,14 @@
         self.file.flush()
 
 
-def free_ports(count: int) -> int:
-    """Return the first of `count` ports that are free on all loopback addresses that are tried here."""
-    for first in range(21000 + os.getpid() % 4000, 60000, count):
+def free_ports(count: int, hosts: list[str]) -> int:
+    """Return the first of `count` ports that are free on these addresses."""
+    for first in range(21000 + os.getpid() % 4000, 32000, count):
         try:
             for port in range(first, first + count):
-                with socket.socket() as probe:
-                    probe.bind(("0.0.0.0", port))
+                for host in hosts:
+                    with socket.socket() as probe:
+                        probe.bind((host, port))
         except OSError:
             continue
         return first
@@ -336,7 +337,7 @@
         net = f"127.{60 + number // 250 % 150}.{1 + number % 250}"
         self.cores = [f"{net}.{n}" for n in range(1, cores + 1)]
         self.doors = [f"{net}.{n}" for n in range(101, 101 + doors)]
-        first = free_ports(40)
+        first = free_ports(4 + 4 * max(cores, 8), self.cores + self.doors)
         self.front_port, self.ready_port, self.control_port = first, first + 1, first + 2
         self.inner_port = first + 4  # the first of the inner ports
         self.own_inner_port = {}  # of a machine whose inner connections pass through links
