Review: the cases hold their quoted limits themselves

Cause: the lengths of the cut, of the freeze and of the lost answers were set but not checked; the stand-ins' module stood beside the cases, where Python leaves a folder of its own.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import sys
+import time
 from collections import Counter
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(FOLDER.parent / "1"))  # the stand-ins of all cases
 
 from harness import CONTACT_S, Client, Deployment, Server, main, reset  # noqa: E402
 
@@ -16,13 +17,13 @@
 FIRST_PART = 16384
 CLIENTS, REQUESTS_EACH = 8, 20
 LOST_SHARE = 0.05  # `answer_lost` with `reset` on the site file: `x` 0.05 of the requests that a server ran,
-LOSING_SERVERS = 2  # `share` 0.5 of the servers, for 4 s
+LOSING_SERVERS, LOSING_S = 2, 4.0  # `share` 0.5 of the servers, `for_s` 4
 
 
 class EarlyServer(Server):
     """Begins to work on a long request with its first part, answers it, and reads the rest later."""
 
-    loses_answers = False
+    loses_answers_until = 0.0
     lost = 0
 
     async def run(
@@ -32,7 +33,11 @@
         await reader.readexactly(first)
         self.begin(what, id)
         await asyncio.sleep(self.work_s)
-        if self.loses_answers and length > first and self.lost + 1 <= LOST_SHARE * len(self.runs):
+        if (
+            time.monotonic() < self.loses_answers_until
+            and length > first
+            and self.lost + 1 <= LOST_SHARE * len(self.runs)
+        ):
             self.lost += 1
             self.record(f"server {self.instance} ran {id}; its answer is lost by a reset")
             reset(writer)
@@ -56,7 +61,7 @@
     await deployment.wait_until_served("/read/x")
     await asyncio.sleep(CONTACT_S + 1.0)  # calm for longer than `contact`
     for server in servers[:LOSING_SERVERS]:
-        server.loses_answers = trouble
+        server.loses_answers_until = time.monotonic() + LOSING_S if trouble else 0.0
     answers: dict[str, int] = {}
 
     async def use(number: int) -> None:
--- a/review/build.sh
+++ b/review/build.sh
@@ -2,6 +2,6 @@
 # The stand-ins need no build: they are Python with the standard library alone.  This checks that they compile.
 set -euo pipefail
 cd "$(dirname "$0")"
-for file in harness.py [1-9]/case.py; do
+for file in [1-9]/*.py; do
     python3 -c 'import sys; compile(open(sys.argv[1], encoding="utf-8").read(), sys.argv[1], "exec")' "$file"
 done
