--- a/ivymux/data_plane/upstream.py
+++ b/ivymux/data_plane/upstream.py
@@ -329,6 +329,7 @@
         self.pool.forget(self)
         if (attempt := self.attempt) is not None:
             self.attempt = None
+            self.pool.upstream.interrupted_writes += self.has_unsent_bytes
             outcome = attempt.give_up_outcome or (
                 Outcome.CONNECT_FAILED if self.has_unsent_bytes else Outcome.RESET
             )
@@ -427,6 +428,7 @@
         """
         self.answer_policy = answer_policy
         self.mismatched_answers = 0  # answers that belonged to an earlier request
+        self.interrupted_writes = 0  # attempts whose connection ended before their request was fully written
         self.held_bytes = 0  # of the bodies of answers that are being received
         self.connect_timeout, self.report_columns = connect_timeout, report_columns
         self.max_connections = max_connections
--- a/ivymux/proxy/metrics.py
+++ b/ivymux/proxy/metrics.py
@@ -23,6 +23,7 @@
         "requests_kept": len(host.requests),
         "clients": len(proxy.server.clients),
         "backend_connections": host.upstream.connection_count,
+        "interrupted_writes_total": host.upstream.interrupted_writes,
         "further_tries_spared_total": proxy.gateway.denied_retries,
         "departed_requests_total": departures.requests,
         "departed_attempts_total": departures.attempts,
