Fix a long request that runs twice after its connection breaks while it is written

Cause: part of the request was still in the write buffer as the connection ended, and that counted as proof that nothing had run. It is a promise of the operators' platform only. Backends of the system may begin before they have read a long body, as ordinary HTTP servers may. Change: the answer policy says whether backends begin after the last byte; without it an interrupted write is a reset, or a cancelled attempt. So it also counts towards max_attempts and the retry budget, and ends a claim as possibly run.

--- a/ivymux/data_plane/answer_policy.py
+++ b/ivymux/data_plane/answer_policy.py
@@ -17,6 +17,8 @@
     not_run_header: bytes = b"not-started"  # in which a backend says that it did not execute a request
     request_id_header: bytes = b""  # in which an answer repeats its request's id; empty if it does not
     requires_framing: bool = False  # whether an answer without length or chunks counts as cut off
+    # Whether a backend begins a request only after its last byte.  Ordinary HTTP servers may begin before.
+    starts_after_last_byte: bool = False
 
     def outcome(self, status: int, not_started: bool) -> Outcome:
         """Return the outcome of an attempt with a complete answer.
@@ -59,5 +61,9 @@
     return is_head or status in (204, 304)
 
 
-# The platform's protocol sets no limit on the bodies of all answers together.
-PLATFORM_POLICY = AnswerPolicy(passes_all_statuses=False, max_body_bytes=64 * 1024, max_held_bytes=1 << 62)
+PLATFORM_POLICY = AnswerPolicy(
+    passes_all_statuses=False,
+    max_body_bytes=64 * 1024,
+    max_held_bytes=1 << 62,  # the platform's protocol sets no limit on the bodies of all answers together
+    starts_after_last_byte=True,
+)
--- a/ivymux/data_plane/upstream.py
+++ b/ivymux/data_plane/upstream.py
@@ -330,13 +330,15 @@
         if (attempt := self.attempt) is not None:
             self.attempt = None
             self.pool.upstream.interrupted_writes += self.has_unsent_bytes
-            outcome = attempt.give_up_outcome or (
-                Outcome.CONNECT_FAILED if self.has_unsent_bytes else Outcome.RESET
-            )
-            if self.has_unsent_bytes and attempt.give_up_outcome is Outcome.CANCELLED:
-                outcome = Outcome.MOOT
             # The descriptor is closed only after this call returns, and a retry must not start before that.
-            self.pool.upstream.loop.call_soon(attempt.fail, outcome)
+            self.pool.upstream.loop.call_soon(attempt.fail, self.outcome_without_answer(attempt))
+
+    def outcome_without_answer(self, attempt: Attempt) -> Outcome:
+        """Return the outcome of an attempt whose connection has ended without an answer."""
+        reason = attempt.give_up_outcome
+        if not (self.has_unsent_bytes and self.policy.starts_after_last_byte):
+            return reason or Outcome.RESET  # a backend may have executed it
+        return Outcome.MOOT if reason is Outcome.CANCELLED else reason or Outcome.CONNECT_FAILED
 
 
 class ConnectionPool:
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -8,6 +8,10 @@
 
 import pytest
 
+from ivymux.data_plane.answer_policy import PLATFORM_POLICY, AnswerPolicy
+from ivymux.data_plane.limits import Address
+from ivymux.data_plane.upstream import Upstream
+from ivymux.proxy.answer_policy import proxy_answer_policy
 from orchidhill import interface as i
 from orchidhill.interface import Outcome
 
@@ -25,6 +29,9 @@
     until,
 )
 
+ORDINARY_HTTP_POLICY = AnswerPolicy(passes_all_statuses=True, max_body_bytes=1 << 20, max_held_bytes=1 << 20)
+LONG_BODY = bytes(8 << 20)  # more than the sockets' buffers hold
+
 
 def echo(message: HttpMessage) -> bytes:
     return http_answer(body=message.headers["request-id"].encode())
@@ -206,3 +213,50 @@
             assert not backend.requests and outcomes == [Outcome.MOOT]
 
     run(test())
+
+
+# Guards against a second run of a request whose backend began with its first bytes, and whose connection
+# ended, or was given up, while the rest was still to be written (docs/incidents/early-run.md).
+@pytest.mark.parametrize("ended_by", ["reset", "cancel"])
+@pytest.mark.parametrize(
+    ("policy", "after_reset", "after_cancel"),
+    [
+        (proxy_answer_policy(1 << 20, 1 << 20), Outcome.RESET, Outcome.CANCELLED),
+        (ORDINARY_HTTP_POLICY, Outcome.RESET, Outcome.CANCELLED),
+        # Backends of the operators' platform begin a request only when its last byte has come.
+        (PLATFORM_POLICY, Outcome.CONNECT_FAILED, Outcome.MOOT),
+    ],
+    ids=["proxy", "ordinary HTTP", "platform"],
+)
+def test_a_request_interrupted_while_it_is_written_may_have_run(
+    policy: AnswerPolicy, after_reset: Outcome, after_cancel: Outcome, ended_by: str
+) -> None:
+    async def test() -> None:
+        began, may_end = asyncio.Event(), asyncio.Event()
+
+        async def begin_with_the_head(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            began.set()
+            await may_end.wait()
+            writer.transport.abort()  # resets the connection, as received bytes are unread
+
+        async with listening(begin_with_the_head) as endpoint:
+            upstream = Upstream(1.0, 10.0, (), 8, policy)
+            host, _, port = endpoint.rpartition(":")
+            upstream.update_backend(FIRST, Address(host, int(port)), 0.0)
+            outcomes: list[Outcome] = []
+            payload = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(LONG_BODY) + LONG_BODY
+            attempt = upstream.start_attempt(FIRST, payload, 30.0, lambda r: outcomes.append(r.outcome))
+            await began.wait()
+            assert attempt.connection is not None and attempt.connection.has_unsent_bytes
+            if ended_by == "reset":
+                may_end.set()
+            else:
+                attempt.give_up(Outcome.CANCELLED)
+            await until(lambda: outcomes)
+            may_end.set()
+            expected = after_reset if ended_by == "reset" else after_cancel
+            assert (outcomes, upstream.interrupted_writes) == ([expected], 1)
+            upstream.close()
+
+    run(test())
