Model of the core: a frozen machine carries out what waits behind a commit

Cause: a commit that ended while its process was frozen counted as done at once, though the process learns of it only after it wakes; an event handled before that began the next commit. Change: the commit stays in progress for the process until then; its writes are on the disk meanwhile, and a kill does not write them again.

--- a/ivymux/simulation/core_cluster.py
+++ b/ivymux/simulation/core_cluster.py
@@ -56,7 +56,8 @@
     replica: Replica | None = None
     incarnation: int = 0
     queued: list[Action] = field(default_factory=list)  # until the running commit ends
-    committing: list[Persist] = field(default_factory=list)
+    committing: list[Persist] = field(default_factory=list)  # until the process learns that it is done
+    is_commit_on_disk: bool = False  # a frozen process learns of the end of its commit later
     after_commit: list[Action] = field(default_factory=list)  # executed once `committing` is synced
     commit_ends_at: float = 0.0
     published_version: int = -1
@@ -159,7 +160,8 @@
     def kill(self, ip: str) -> None:
         """Kill the process; a commit in progress is either on its disk or lost."""
         machine = self.machines[ip]
-        if machine.replica is not None and machine.committing and self.interrupted_write_survives():
+        is_interrupted = bool(machine.committing) and not machine.is_commit_on_disk
+        if machine.replica is not None and is_interrupted and self.interrupted_write_survives():
             self.apply_writes(machine.disk, machine.committing)
         machine.replica, machine.committing = None, []
 
@@ -243,7 +245,7 @@
         machine.after_commit = [a for a in machine.queued if not isinstance(a, Persist)]
         machine.queued = []
         if writes:
-            machine.committing = writes
+            machine.committing, machine.is_commit_on_disk = writes, False
             incarnation, disk = machine.incarnation, machine.disk
             duration_s = disk.commit_s * self.commit_factor()
             machine.commit_ends_at = self.now + duration_s
@@ -258,7 +260,7 @@
             self.kill(machine.ip)
             return
         self.apply_writes(disk, writes)
-        machine.committing = []
+        machine.is_commit_on_disk = True
         if machine.deferred is not None:
             machine.deferred.append(lambda: self.execute_after_commit(machine, incarnation))
         else:
@@ -268,6 +270,7 @@
         """Execute the actions that waited for a commit, and start the next one."""
         if machine.incarnation != incarnation or machine.replica is None:
             return
+        machine.committing = []
         waiting, machine.after_commit = machine.after_commit, []
         for action in waiting:
             self.execute(machine, action)
