--- a/ivymux/simulation/loss_scenarios.py
+++ b/ivymux/simulation/loss_scenarios.py
@@ -26,18 +26,23 @@
 def start_cluster(
     seed: int, count: int, spares: int = 0, make_replica: ReplicaFactory = Replica
 ) -> CoreCluster:
-    """Start a core of `count` members and have one change acknowledged; `spares` machines stay down.
+    """Create a core with `start_members`; `spares` machines stay down."""
+    cluster = CoreCluster(seed, count + spares, make_replica)
+    start_members(cluster, count)
+    return cluster
+
+
+def start_members(cluster: CoreCluster, count: int) -> None:
+    """Start a core of `count` members and have one change acknowledged.
 
     Raises GuaranteeViolation if they form no core.
     """
-    cluster = CoreCluster(seed, count + spares, make_replica)
     for number in range(count):
         cluster.start_at(cluster.random.uniform(0, 0.3), f"m{number}")
     cluster.run_for(1.0)
     if not cluster.run_until(lambda: len(cluster.member_addresses()) == count, 10.0):
         raise GuaranteeViolation(f"{count} machines form no core: {cluster.log[-4:]}")
     put_until_acknowledged(cluster, 1)
-    return cluster
 
 
 def put_until_acknowledged(cluster: CoreCluster, version: int, timeout_s: float = 10.0) -> float:
