Fix a second primary after a member is replaced while the core is cut in two

Cause: an election took the newest record that any promise named as the epoch before and asked for a majority of its members alone, also where only its own candidate had accepted it. With an odd number of members, of which one is replaced, a majority of the old and one of the new need not meet. Change: a record names the memberships of the epochs before it that may be in force instead (joint consensus). An election needs majorities of all of them, for promises and for acceptance, until the epoch is known to be in force; members store that when the primary asks for its lease. Old records are read as before, old processes ignore the field. Why it works: the record in force was accepted by majorities of every membership that a later candidate has to ask.

--- a/ivymux/config_store/elections.py
+++ b/ivymux/config_store/elections.py
@@ -1,4 +1,4 @@
-"""Elections: promises of a majority, state transfer to the new backup, acceptance by majorities.  Pure.
+"""Elections: promises of majorities, state transfer to the new backup, acceptance by majorities.  Pure.
 
 The protocol follows Vertical Paxos II (Lamport, Malkhi, Zhou 2009) and PacificA (2008).  A candidate is the
 primary or the backup of the newest epoch that any promise names, or the primary in force when it changes its
@@ -11,7 +11,13 @@
 from ivymux.config_store.actions import Persist
 from ivymux.config_store.changes import ChangeReplication
 from ivymux.config_store.history import ChangeHistory
-from ivymux.config_store.membership import choose_backup, next_members
+from ivymux.config_store.membership import (
+    are_majorities,
+    choose_backup,
+    deciding_memberships,
+    newest_record,
+    next_members,
+)
 from ivymux.config_store.messages import (
     Accepted,
     AcceptRequest,
@@ -27,7 +33,6 @@
     DurableState,
     EpochRecord,
     address_of,
-    is_majority,
 )
 from ivymux.config_store.replica_state import NEVER, ElectionAttempt
 from ivymux.config_store.timing import (
@@ -158,12 +163,12 @@
     def on_promise_request(self, source: str, message: PromiseRequest) -> None:
         """Promise a candidate's epoch, unless a higher promise or a lease that was granted forbids it."""
         candidate, number = message.sender, message.epoch
-        is_named_member = self.identity in message.epoch_record.members
-        if not self.is_member() and is_named_member and self.leaving_since is None:
+        is_named_voter = self.identity in message.epoch_record.voters()
+        if not self.is_voter() and is_named_voter and self.leaving_since is None:
             # Safe: without that epoch's record on its disk, this machine has promised and granted nothing as
             # a member.
             self.learn_epoch(message.epoch_record)
-        if self.known_epoch is None or not self.is_member():
+        if self.known_epoch is None or not self.is_voter():
             return
         if number < self.promised or (number == self.promised and candidate != self.promised_to):
             self.send_refusal(source)
@@ -217,8 +222,8 @@
             return
         attempt.refused_by.add(message.sender)
         if attempt.number == message.promised and self.known_epoch is not None:
-            remaining = set(self.known_epoch.members) - attempt.refused_by
-            if is_majority(self.known_epoch.members, remaining):
+            remaining = self.known_epoch.voters() - attempt.refused_by
+            if are_majorities(self.known_epoch.memberships(), remaining):
                 return  # the sender promised this number to another candidate; the others suffice
         # The pause grows with the rank, so that two candidates do not keep colliding.
         pause_s = REFUSAL_PAUSE_S + REFUSAL_RANK_PAUSE_S * self.attempt_rank()
@@ -242,12 +247,13 @@
     # --- the state at the new backup -------------------------------------------------------------------
 
     def choose_epoch(self, attempt: ElectionAttempt) -> None:
-        """Choose the new epoch's backup and members, once a majority has promised.
+        """Choose the new epoch's backup and members, once majorities have promised.
 
         From then on the epoch's state is fixed; it is sent to the backup.
         """
-        previous = max(attempt.promises.values(), key=lambda record: record.number)
-        if not is_majority(previous.members, set(attempt.promises)):
+        previous = newest_record(attempt.promises.values())
+        memberships = deciding_memberships(attempt.promises.values())
+        if not are_majorities(memberships, set(attempt.promises)):
             return
         is_first_epoch = previous.number == 0
         in_pair = self.identity in (previous.primary, previous.backup)
@@ -263,8 +269,9 @@
             return
         if not is_first_epoch and self.better_backup_may_answer(attempt, backup, partner):
             return
-        attempt.previous_epoch = previous
-        attempt.epoch_record = EpochRecord(attempt.number, self.identity, backup, members)
+        attempt.memberships = memberships
+        others = tuple(m for m in memberships if set(m.members) != set(members))
+        attempt.epoch_record = EpochRecord(attempt.number, self.identity, backup, members, others)
         attempt.last_progress_at = self.now
         text = self.state.text if self.state is not None else ""
         self.state = ConfigurationState(attempt.number, self.held_version(), text)
@@ -394,12 +401,13 @@
 
     def check_acceptance(self, attempt: ElectionAttempt) -> None:
         """Put the new epoch into force once majorities of the old and of the new members store its record."""
-        record, previous = attempt.epoch_record, attempt.previous_epoch
-        assert record is not None and previous is not None
-        if not all(is_majority(epoch.members, attempt.accepted_by) for epoch in (previous, record)):
+        assert attempt.epoch_record is not None
+        record = attempt.epoch_record.settled()
+        if not are_majorities((*attempt.memberships, *record.memberships()), attempt.accepted_by):
             return
         was_primary = self.led_epoch is not None
         self.led_epoch, self.attempt, self.failed_attempts = record, None, 0
+        self.settle_epoch(record.number)
         if not was_primary:
             self.lease_grants = {}  # grants to the primary of an epoch carry over to its next epoch
         self.had_majority_at = self.now
--- a/ivymux/config_store/leadership.py
+++ b/ivymux/config_store/leadership.py
@@ -151,9 +151,11 @@
         self.deferral_count = 0
         if self.known_epoch is None or self.known_epoch.number < record.number:
             self.learn_epoch_in_force(record, same_primary)
+        else:
+            self.settle_epoch(record.number)
         if self.attempt is not None and self.attempt.number <= record.number:
             self.attempt = None
-        if self.identity not in record.members and not (same_primary and self.is_member()):
+        if self.identity not in record.members and not (same_primary and self.is_voter()):
             self.join_requested_at.clear()
         elif self.now >= self.no_lease_until:
             self.leased_to, self.leased_until = primary, self.now + LEASE_S
@@ -274,5 +276,5 @@
         """Whether this process was asked to shut down and no other machine depends on it any longer."""
         if self.leaving_since is None:
             return False
-        is_outsider = self.known_epoch is None or (self.known_epoch.number > 0 and not self.is_member())
+        is_outsider = self.known_epoch is None or (self.known_epoch.number > 0 and not self.is_voter())
         return self.departure_granted or (is_outsider and not self.is_in_pair())
--- a/ivymux/config_store/membership.py
+++ b/ivymux/config_store/membership.py
@@ -1,13 +1,39 @@
-"""Choice of the members and the backup of the next epoch.  Pure."""
+"""Which members decide on the next epoch, and the choice of its members and backup.  Pure."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable, Sequence
 
-from ivymux.config_store.records import EpochRecord, address_of
+from ivymux.config_store.records import EpochRecord, Membership, address_of, is_majority
 from ivymux.config_store.timing import MIN_MEMBERS
 
 
+def newest_record(records: Iterable[EpochRecord]) -> EpochRecord:
+    """Return the record with the highest number; of two copies, the one that is known to be in force."""
+    return max(records, key=lambda record: (record.number, not record.joint_memberships))
+
+
+def deciding_memberships(records: Iterable[EpochRecord]) -> tuple[Membership, ...]:
+    """Return the memberships of all epochs that may be in force, given the records that promises name.
+
+    A majority of each of them has to promise the next epoch, and to accept it.  Every epoch in force below a
+    record's number either has its members among the record's memberships, or was followed by one that has.
+    So nothing below the newest record without joint memberships needs to be asked.
+    """
+    records = tuple(records)
+    lowest = max((r.number for r in records if not r.joint_memberships), default=-1)
+    by_members: dict[frozenset[str], Membership] = {}
+    for membership in sorted((m for r in records for m in r.memberships()), key=lambda m: m.number):
+        if membership.number >= lowest:
+            by_members[frozenset(membership.members)] = membership
+    return tuple(by_members.values())
+
+
+def are_majorities(memberships: Iterable[Membership], votes: set[str]) -> bool:
+    """Whether more than half of the members of each membership have voted."""
+    return all(is_majority(membership.members, votes) for membership in memberships)
+
+
 def next_members(
     record: EpochRecord, identity: str, joining: Iterable[str], removable: Sequence[str]
 ) -> tuple[str, ...]:
--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -82,7 +82,7 @@
         self.incompatible_peers: set[str] = set()  # addresses that use another version of the protocol
         self.is_ending = False
         self.tasks: set[asyncio.Task[None]] = set()
-        members = durable.epoch_record.members if durable.epoch_record else ()
+        members = sorted(durable.epoch_record.voters()) if durable.epoch_record else ()
         for address in (*seeds, *(address_of(member) for member in members)):
             self.connect_to(address)
         epoch = f"epoch {durable.epoch_record.number}" if durable.epoch_record else "no epoch"
@@ -191,7 +191,7 @@
     def update_cores(self) -> None:
         """Send registries the core machines when they have changed, and adjust the connections to them."""
         epoch = self.replica.known_epoch
-        addresses = {address_of(member) for member in epoch.members} if epoch is not None else set()
+        addresses = {address_of(member) for member in epoch.voters()} if epoch is not None else set()
         connected = {address for address, peer in self.peers.items() if peer.is_connected}
         addresses |= connected | {self.settings.ip}
         cores = sorted(addresses)
--- a/ivymux/config_store/records.py
+++ b/ivymux/config_store/records.py
@@ -13,13 +13,37 @@
 from ivymux.idempotency.record_store import IdempotencyRecord
 
 
+class Membership(msgspec.Struct, frozen=True, array_like=True):
+    """The members of an epoch that may be, or may have been, in force."""
+
+    number: int  # of the epoch
+    members: tuple[str, ...]
+
+
 class EpochRecord(msgspec.Struct, frozen=True, array_like=True):
-    """One epoch: its primary, its backup, and the members that form its majorities."""
+    """One epoch: its primary, its backup, and the members that form its majorities.
+
+    Until the epoch is known to be in force, an election also needs majorities of the joint memberships: those
+    of the epochs before it that may be in force instead, where their members differ.
+    """
 
     number: int
     primary: str
     backup: str
     members: tuple[str, ...]
+    joint_memberships: tuple[Membership, ...] = ()
+
+    def memberships(self) -> tuple[Membership, ...]:
+        """Return all memberships of which an election needs a majority."""
+        return (Membership(self.number, self.members), *self.joint_memberships)
+
+    def voters(self) -> set[str]:
+        """Return the machines whose votes may count in an election."""
+        return {member for membership in self.memberships() for member in membership.members}
+
+    def settled(self) -> EpochRecord:
+        """Return the record of this epoch once it is in force: its own majority suffices from then on."""
+        return msgspec.structs.replace(self, joint_memberships=()) if self.joint_memberships else self
 
 
 class ConfigurationState(msgspec.Struct, frozen=True, array_like=True):
--- a/ivymux/config_store/replica_state.py
+++ b/ivymux/config_store/replica_state.py
@@ -11,7 +11,7 @@
 from ivymux.config_store.history import ChangeHistory
 from ivymux.config_store.idempotency import RecordReplication
 from ivymux.config_store.messages import DiskSynced, Refusal, ReplicaMessage
-from ivymux.config_store.records import DurableState, EpochRecord, address_of, is_majority
+from ivymux.config_store.records import DurableState, EpochRecord, Membership, address_of, is_majority
 from ivymux.config_store.timing import BACKUP_TIMEOUT_S, LEASE_S
 from ivymux.idempotency.record_store import RecordStore
 
@@ -25,7 +25,8 @@
     number: int
     started_at: float
     promises: dict[str, EpochRecord] = field(default_factory=dict)
-    previous_epoch: EpochRecord | None = None
+    # Of which majorities have promised, and have to accept the record; set together with the record.
+    memberships: tuple[Membership, ...] = ()
     # Set once a majority has promised; the state of the new epoch is fixed from then on.
     epoch_record: EpochRecord | None = None
     backup_has_state: bool = False  # on its disk
@@ -108,6 +109,10 @@
         """Whether this machine is a member of the newest epoch that it knows."""
         return self.known_epoch is not None and self.identity in self.known_epoch.members
 
+    def is_voter(self) -> bool:
+        """Whether this machine's vote may count in an election, by the newest epoch that it knows."""
+        return self.known_epoch is not None and self.identity in self.known_epoch.voters()
+
     def is_in_pair(self) -> bool:
         """Whether this machine is the primary or the backup of the newest epoch that it knows."""
         epoch = self.known_epoch
@@ -169,8 +174,10 @@
             self.send(source, Refusal(self.identity, self.promised, self.known_epoch))
 
     def learn_epoch(self, record: EpochRecord) -> None:
-        """Store an epoch record of a peer if it is newer than the known one."""
+        """Store an epoch record of a peer if it is newer than the known one, or a settled copy of it."""
         if self.known_epoch is not None and record.number <= self.known_epoch.number:
+            if not record.joint_memberships:
+                self.settle_epoch(record.number)
             return
         if self.led_epoch is not None and record.number > self.led_epoch.number:
             self.step_down("a later epoch is known")
@@ -178,6 +185,13 @@
         self.known_epoch = record
         self.persist_epoch_step(Persist(epoch_record=record, same_primary=same_primary))
 
+    def settle_epoch(self, number: int) -> None:
+        """Store that an epoch is in force, so that its own members decide alone, if it is the known one."""
+        known = self.known_epoch
+        if known is not None and known.number == number and known.joint_memberships:
+            self.known_epoch = known.settled()
+            self.actions.append(Persist(epoch_record=self.known_epoch, same_primary=True))
+
     def step_down(self, why: str) -> None:
         """Stop being the primary; changes that are not on both disks are not acknowledged."""
         if self.led_epoch is None:
--- a/ivymux/simulation/seeded_faults.py
+++ b/ivymux/simulation/seeded_faults.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from ivymux.config_store import elections, leadership, messages, replica_state
+from ivymux.config_store import leadership, membership, messages, replica_state
 from ivymux.config_store.actions import Action, Persist, Reply, Send
 from ivymux.config_store.history import ChangeHistory, ChangeOutcome
 from ivymux.config_store.idempotency import RecordReplication
@@ -63,7 +63,7 @@
         return bool(votes)
 
     with contextlib.ExitStack() as patches:
-        for module in (elections, leadership, replica_state):
+        for module in (leadership, membership, replica_state):
             patches.enter_context(patched(world, module, is_majority=one_vote))
         yield world
 
@@ -116,8 +116,8 @@
     """Puts an epoch in force without a majority."""
 
     def check_acceptance(self, attempt: ElectionAttempt) -> None:
-        if attempt.previous_epoch is not None and attempt.epoch_record is not None:
-            attempt.accepted_by |= {*attempt.previous_epoch.members, *attempt.epoch_record.members}
+        if attempt.epoch_record is not None:
+            attempt.accepted_by |= attempt.epoch_record.voters()
         super().check_acceptance(attempt)
 
 
