Model of replacements: no cut once a run's faults are over

Trace: the step at which the core was to be cut came only after the end of the run, so the cut of 5.37 s began at 7.350 s, as the answers were checked, for which 5 s are allowed. Change: the cut is disarmed as the run ends.

--- a/ivymux/simulation/replacement_scenarios.py
+++ b/ivymux/simulation/replacement_scenarios.py
@@ -102,6 +102,7 @@
         ends_at = cluster.now + rng.uniform(5.0, 8.0)
         while cluster.now < max(ends_at, self.cut_ends_at):
             self.step()
+        cluster.choose_step(0)  # no cut from here on
         for machine in cluster.machines.values():
             machine.disk.commit_s = USUAL_COMMIT_S
         cluster.heal(RECOVERY_TIMEOUT_S)
