Config store: the backup does not wait for a primary whose lease has run out

Need: a change is acknowledged as soon as possible after the loss of a primary. A candidate waited 0.12 s for the promise of its former partner, also where that was the primary whose silence had made it a candidate. Change: a machine that was the primary and has not asked for its lease within LEASE_S is not waited for.

--- a/ivymux/config_store/elections.py
+++ b/ivymux/config_store/elections.py
@@ -40,6 +40,7 @@
     FIRST_START_DELAY_S,
     FIRST_START_RANK_DELAY_S,
     JOIN_INTERVAL_S,
+    LEASE_S,
     MAX_DEFERRAL_S,
     MAX_DISK_DEFERRAL_S,
     MAX_REFUSAL_FACTOR,
@@ -281,9 +282,13 @@
     def better_backup_may_answer(self, attempt: ElectionAttempt, backup: str, partner: str) -> bool:
         """Whether the promise of a better backup may still be on its way."""
         unfit = self.unfit_backups()
-        awaits_partner = partner not in attempt.promises and partner not in unfit
+        awaits_partner = partner not in {*attempt.promises, *unfit} and not self.has_lost_lease(partner)
         return (awaits_partner or backup in unfit) and self.now - attempt.started_at < RETRY_INTERVAL_S / 3
 
+    def has_lost_lease(self, machine: str) -> bool:
+        """Whether a machine was the primary, and has not asked this member for its lease in time."""
+        return machine == self.last_primary and self.now - self.primary_seen_at > LEASE_S
+
     def next_epoch_members(self, record: EpochRecord, present: set[str]) -> tuple[str, ...]:
         """Return the members of the epoch after `record`, as far as known now."""
         joiners = [
--- a/ivymux/config_store/leadership.py
+++ b/ivymux/config_store/leadership.py
@@ -15,7 +15,6 @@
     SettingsRequest,
 )
 from ivymux.config_store.records import DurableState, EpochRecord, address_of, is_majority
-from ivymux.config_store.replica_state import NEVER
 from ivymux.config_store.timing import (
     BACKUP_DISK_TIMEOUT_S,
     BACKUP_TIMEOUT_S,
@@ -40,7 +39,6 @@
         super().__init__(durable, now)
         self.next_broadcast_at = 0.0  # of a lease request, or of a join request
         self.renewal_count = 0
-        self.last_primary, self.primary_seen_at = "", NEVER  # the last primary that asked for its lease
         self.next_announcement_at = now + 2 * LEASE_S
         self.departure_granted = False  # whether this process, which was asked to shut down, may exit
         self.no_lease_until = 0.0  # set when an epoch is learned from a lease request
--- a/ivymux/config_store/replica_state.py
+++ b/ivymux/config_store/replica_state.py
@@ -69,6 +69,7 @@
         self.leaving_since: float | None = None  # when this process was asked to shut down
         # As a member.
         self.leased_to, self.leased_until = "", 0.0  # the lease that this member grants
+        self.last_primary, self.primary_seen_at = "", NEVER  # the last primary that asked for its lease
         # A lease granted before a restart is not remembered.  Until it must have expired, this member gives
         # promises only to the primary of the known epoch, as that machine may hold the lease.
         self.restart_lease_until = now + LEASE_S if durable.epoch_record is not None else 0.0
