--- a/ivymux/config_store/actions.py
+++ b/ivymux/config_store/actions.py
@@ -41,7 +41,7 @@
 
 @dataclass(slots=True)
 class Complete:
-    """Answer a call: both disks hold the change that it waits for."""
+    """Answer a call: all disks of the epoch hold the change that it waits for."""
 
     call_id: int
 
--- a/ivymux/config_store/changes.py
+++ b/ivymux/config_store/changes.py
@@ -1,8 +1,11 @@
-"""Replication of the configuration: one text per version, on two disks before it is acknowledged.  Pure."""
+"""Replication of the configuration: one text per version, on all disks of an epoch before it is acknowledged.
+
+Pure.
+"""
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from ivymux.config_store.actions import Complete, Persist, Publish, Reply
@@ -22,7 +25,7 @@
 
 @dataclass(slots=True)
 class PendingChange:
-    """A change that is not on both disks yet, with the calls that wait for it."""
+    """A change that is not on all disks of the epoch yet, with the calls that wait for it."""
 
     version: int
     text: str
@@ -30,15 +33,14 @@
     calls: list[int]
     sent_at: float = 0.0
     written_at: float = 0.0  # when the change was first written under the epoch in force
-    on_own_disk: bool = False
-    on_backup: bool = False
+    stored_by: set[str] = field(default_factory=set)  # the primary and the backups whose disks hold it
 
 
 class ChangeReplication(ReplicaState):
-    """Replication of the configuration from the primary to the backup, and its publication to all."""
+    """Replication of the configuration from the primary to the backups, and its publication to all."""
 
-    def __init__(self, durable: DurableState, now: float) -> None:
-        super().__init__(durable, now)
+    def __init__(self, durable: DurableState, now: float, backup_count: int = 1) -> None:
+        super().__init__(durable, now, backup_count)
         self.pending: list[PendingChange] = []  # in rising order of versions
         self.published_version = NO_VERSION  # the last version that this machine published
 
@@ -59,14 +61,14 @@
         same = next((change for change in self.pending if change.version == version), None)
         if same is not None:
             if same.digest != digest:
-                return None  # undecided until the first of the two texts is on both disks
+                return None  # undecided until the first of the two texts is on all disks
             same.calls.append(call_id)
             return self.reply(ChangeOutcome.STORED, version, digest, wait=True)
         outcome = self.history.outcome_of(version, digest)
         if outcome is not ChangeOutcome.NEW:
             return self.reply(outcome, version, digest)
         if self.pending and version < self.pending[-1].version:
-            # Superseded once the higher version is on both disks.
+            # Superseded once the higher version is on all disks.
             self.pending[-1].calls.append(call_id)
             return self.reply(ChangeOutcome.SUPERSEDED, version, digest, wait=True)
         change = PendingChange(version, text, digest, [call_id])
@@ -91,9 +93,9 @@
     # --- at the primary ------------------------------------------------------------------------------
 
     def write_change(self, change: PendingChange) -> None:
-        """Write a change to the disks of the primary and the backup."""
+        """Write a change to the disks of the primary and the backups."""
         assert self.led_epoch is not None
-        change.on_own_disk = change.on_backup = False
+        change.stored_by.clear()
         change.written_at = self.now
         self.send_write(change)
         state = ConfigurationState(self.led_epoch.number, change.version, change.text)
@@ -101,18 +103,18 @@
         self.send(address_of(self.identity), WriteStored(self.identity, state.epoch, state.version))
 
     def send_write(self, change: PendingChange) -> None:
-        """Send a change to the backup."""
+        """Send a change to the backups that have not stored it."""
         assert self.led_epoch is not None
         change.sent_at = self.now
         position = self.pending.index(change)
         previous = self.pending[position - 1].version if position else self.held_version()
-        self.send(
-            address_of(self.led_epoch.backup),
-            WriteRequest(self.identity, self.led_epoch.number, previous, change.version, change.text),
-        )
+        request = WriteRequest(self.identity, self.led_epoch.number, previous, change.version, change.text)
+        for backup in self.led_epoch.backups():
+            if backup not in change.stored_by:
+                self.send(address_of(backup), request)
 
     def resend_writes(self) -> None:
-        """Repeat writes that the backup has not acknowledged in time."""
+        """Repeat writes that the backups have not acknowledged in time."""
         if not self.is_writable():
             return
         for change in self.pending:
@@ -124,31 +126,36 @@
         for change in self.pending:
             self.write_change(change)
 
-    def waiting_for_backup_since(self) -> float:
-        """Return when the oldest change that only this machine's disk holds was written; infinity if none."""
+    def waiting_since(self, backup: str) -> float:
+        """Return when the oldest change that this machine's disk holds and a backup's does not was written.
+
+        Returns infinity if there is none.
+        """
         changes = [
-            change.written_at for change in self.pending if change.on_own_disk and not change.on_backup
+            change.written_at
+            for change in self.pending
+            if self.identity in change.stored_by and backup not in change.stored_by
         ]
-        return min([*changes, self.record_replication.waiting_for_backup_since()])
+        return min([*changes, self.record_replication.waiting_since(backup)])
 
     def on_write_stored(self, source: str, message: WriteStored) -> None:
-        """Note that a disk holds all changes up to a version, and complete those that both disks hold."""
+        """Note that a disk holds all changes up to a version, and complete those that all disks hold."""
         self.last_received_at[message.sender] = self.now
         if self.led_epoch is None or message.epoch != self.led_epoch.number or not self.is_writable():
             return
         for change in self.pending:
             # Changes are written in order: a disk that holds a later change holds this one too.
             if change.version <= message.version:
-                change.on_own_disk = change.on_own_disk or message.sender == self.identity
-                change.on_backup = change.on_backup or message.sender == self.led_epoch.backup
+                change.stored_by.add(message.sender)
         self.complete_changes()
 
     def complete_changes(self) -> None:
-        """Acknowledge and publish the changes that are on both disks."""
-        done = [change for change in self.pending if change.on_own_disk and change.on_backup]
+        """Acknowledge and publish the changes that are on all disks of the epoch."""
+        assert self.led_epoch is not None
+        copies = set(self.led_epoch.copies())
+        done = [change for change in self.pending if copies <= change.stored_by]
         if not done:
             return
-        assert self.led_epoch is not None
         self.pending = [change for change in self.pending if change not in done]
         for change in done:
             self.state = ConfigurationState(self.led_epoch.number, change.version, change.text)
@@ -160,10 +167,10 @@
         super().drop_unacknowledged()
         self.pending.clear()
 
-    # --- at the backup -------------------------------------------------------------------------------
+    # --- at a backup ---------------------------------------------------------------------------------
 
     def on_write_request(self, source: str, message: WriteRequest) -> None:
-        """Store a change as the backup; changes of another epoch or with a gap before them are ignored."""
+        """Store a change as a backup; changes of another epoch or with a gap before them are ignored."""
         if self.state is None or self.state.epoch != message.epoch:
             return
         if self.promised > message.epoch and self.promised_to != message.sender:
@@ -180,7 +187,7 @@
     # --- publication -----------------------------------------------------------------------------
 
     def publish(self) -> None:
-        """Broadcast the configuration, which is on both disks."""
+        """Broadcast the configuration, which is on all disks of the epoch."""
         state = self.state
         if state is None or state.version < 0:
             return
--- a/ivymux/config_store/elections.py
+++ b/ivymux/config_store/elections.py
@@ -1,9 +1,10 @@
-"""Elections: promises of majorities, state transfer to the new backup, acceptance by majorities.  Pure.
+"""Elections: promises of majorities, state transfer to the new backups, acceptance by majorities.  Pure.
 
 The protocol follows Vertical Paxos II (Lamport, Malkhi, Zhou 2009) and PacificA (2008).  A candidate is the
-primary or the backup of the newest epoch that any promise names, or the primary in force when it changes its
-backup or the members.  It repeats its requests under one number until a member refuses: each new number costs
-every member a commit to disk, and a slow disk takes longer for it than any time-out that suits a fast disk.
+primary or a backup of the newest epoch that any promise names, or the primary in force when it changes its
+backups or the members.  It repeats its requests under one number until a member refuses: each new number
+costs every member a commit to disk, and a slow disk takes longer for it than any time-out that suits a fast
+disk.
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 from ivymux.config_store.history import ChangeHistory
 from ivymux.config_store.membership import (
     are_majorities,
-    choose_backup,
+    choose_backups,
     deciding_memberships,
     newest_record,
     next_members,
@@ -52,6 +53,7 @@
     REFUSAL_RANK_PAUSE_S,
     RETRY_INTERVAL_S,
     STALL_PAUSE_S,
+    TAKEOVER_RANK_DELAY_S,
     TRANSFER_RETRY_INTERVAL_S,
 )
 
@@ -61,8 +63,8 @@
 class Elections(ChangeReplication):
     """A replica as a candidate, and as a member that candidates ask."""
 
-    def __init__(self, durable: DurableState, now: float) -> None:
-        super().__init__(durable, now)
+    def __init__(self, durable: DurableState, now: float, backup_count: int = 1) -> None:
+        super().__init__(durable, now, backup_count)
         self.deferral_count = 0  # attempts of other candidates since a primary last requested its lease
         self.deferred_since = now  # when the latest of these attempts was first received
         self.defer_until = 0.0  # until when it may postpone an attempt of this member
@@ -80,10 +82,17 @@
         if self.now < self.next_attempt_at or self.unsynced_step or self.known_epoch is None:
             return False
         is_founder = self.is_founder()
-        if not is_founder and not (self.is_in_pair() and self.has_state_of(self.known_epoch)):
+        if not is_founder and not (self.holds_copy() and self.has_state_of(self.known_epoch)):
             return False
         restart_lease_until = self.restart_lease_until if self.known_epoch.primary != self.identity else 0.0
-        return self.leased_to == self.identity or self.now >= max(self.leased_until, restart_lease_until)
+        leased_until = max(self.leased_until, restart_lease_until)
+        return self.leased_to == self.identity or self.now >= leased_until + self.takeover_delay_s()
+
+    def takeover_delay_s(self) -> float:
+        """Return how much later than the first backup this machine tries to take over from a lost primary."""
+        if self.known_epoch is None or self.identity not in self.known_epoch.other_backups:
+            return 0.0
+        return TAKEOVER_RANK_DELAY_S * self.known_epoch.backups().index(self.identity)
 
     def has_state_of(self, record: EpochRecord) -> bool:
         """Whether this machine holds the state of an epoch, or of a later one."""
@@ -95,8 +104,8 @@
         Pauses depend on it, so that two candidates do not keep colliding.
         """
         assert self.known_epoch is not None
-        pair = (self.known_epoch.backup, self.known_epoch.primary)
-        candidates = sorted(pair if self.known_epoch.number else self.known_epoch.members)
+        is_first_epoch = self.known_epoch.number == 0
+        candidates = sorted(self.known_epoch.members if is_first_epoch else self.known_epoch.copies())
         return candidates.index(self.identity) if self.identity in candidates else len(candidates)
 
     def begin_attempt(self, why: str) -> None:
@@ -124,22 +133,23 @@
                 # Another candidate has this number too, and the members that could decide are silent.
                 self.abandon_attempt(0.0)
                 return
-        elif self.is_stalled(attempt, attempt.epoch_record.backup):
+        elif self.is_stalled(attempt, attempt.epoch_record):
             self.abandon_attempt(STALL_PAUSE_S * min(MAX_STALL_FACTOR, self.failed_attempts))
             return
         if self.now < attempt.next_request_at:
             return
         if attempt.epoch_record is None:
             self.request_promises(attempt)
-        elif not attempt.backup_has_state:
+        elif attempt.backups_without_state():
             self.request_promises(attempt)  # so that other members keep deferring
             self.transfer_state(attempt)
         else:
             self.request_acceptance(attempt)
 
-    def is_stalled(self, attempt: ElectionAttempt, backup: str) -> bool:
-        """Whether the chosen backup is silent, or the attempt has made no progress for too long."""
-        silent_since = max(self.last_received_at.get(backup, 0.0), attempt.last_progress_at)
+    def is_stalled(self, attempt: ElectionAttempt, record: EpochRecord) -> bool:
+        """Whether a chosen backup is silent, or the attempt has made no progress for too long."""
+        last_received_at = min(self.last_received_at.get(backup, 0.0) for backup in record.backups())
+        silent_since = max(last_received_at, attempt.last_progress_at)
         lacks_progress = self.now - attempt.last_progress_at > PROGRESS_TIMEOUT_S
         return lacks_progress or self.now - silent_since > BACKUP_TIMEOUT_S
 
@@ -245,45 +255,54 @@
         attempt.promises[message.sender] = message.epoch_record
         self.choose_epoch(attempt)
 
-    # --- the state at the new backup -------------------------------------------------------------------
+    # --- the state at the new backups ------------------------------------------------------------------
 
     def choose_epoch(self, attempt: ElectionAttempt) -> None:
-        """Choose the new epoch's backup and members, once majorities have promised.
+        """Choose the new epoch's backups and members, once majorities have promised.
 
-        From then on the epoch's state is fixed; it is sent to the backup.
+        From then on the epoch's state is fixed; it is sent to the backups.
         """
         previous = newest_record(attempt.promises.values())
         memberships = deciding_memberships(attempt.promises.values())
         if not are_majorities(memberships, set(attempt.promises)):
             return
         is_first_epoch = previous.number == 0
-        in_pair = self.identity in (previous.primary, previous.backup)
-        if not is_first_epoch and not (in_pair and self.has_state_of(previous)):
+        holds_copy = self.identity in previous.copies()
+        if not is_first_epoch and not (holds_copy and self.has_state_of(previous)):
             self.abandon_attempt(2 * MIN_DEFERRAL_S)  # only another machine can be the primary
             self.learn_epoch(previous)
             return
         members = self.next_epoch_members(previous, set(attempt.promises))
-        partner = previous.backup if previous.primary == self.identity else previous.primary
         able = [member for member in members if member in attempt.promises]
-        backup = choose_backup(previous, self.identity, able, self.unfit_backups(), partner)
-        if backup is None:
-            return
-        if not is_first_epoch and self.better_backup_may_answer(attempt, backup, partner):
+        unfit = self.unfit_backups()
+        backups = choose_backups(previous, self.identity, able, unfit, self.backup_count)
+        if len(backups) < min(self.backup_count, max(1, len(members) // 2)):
+            return  # a majority of the members has that many machines beside this one
+        may_wait = not is_first_epoch or len(backups) < self.backup_count
+        if may_wait and self.better_backup_may_answer(attempt, backups, previous):
             return
         attempt.memberships = memberships
         others = tuple(m for m in memberships if set(m.members) != set(members))
-        attempt.epoch_record = EpochRecord(attempt.number, self.identity, backup, members, others)
+        attempt.epoch_record = EpochRecord(
+            attempt.number, self.identity, backups[0], members, others, backups[1:]
+        )
         attempt.last_progress_at = self.now
         text = self.state.text if self.state is not None else ""
         self.state = ConfigurationState(attempt.number, self.held_version(), text)
         self.actions.append(Persist(state=self.state, history=self.history.changes()))
         self.transfer_state(attempt)
 
-    def better_backup_may_answer(self, attempt: ElectionAttempt, backup: str, partner: str) -> bool:
-        """Whether the promise of a better backup may still be on its way."""
+    def better_backup_may_answer(
+        self, attempt: ElectionAttempt, backups: tuple[str, ...], previous: EpochRecord
+    ) -> bool:
+        """Whether the promise of a better backup, which holds the state, may still be on its way."""
         unfit = self.unfit_backups()
-        awaits_partner = partner not in {*attempt.promises, *unfit} and not self.has_lost_lease(partner)
-        return (awaits_partner or backup in unfit) and self.now - attempt.started_at < RETRY_INTERVAL_S / 3
+        awaited = set(previous.copies()) - {self.identity, *attempt.promises, *unfit}
+        has_too_few = len(backups) < self.backup_count
+        is_better_possible = (
+            has_too_few or any(not self.has_lost_lease(m) for m in awaited) or unfit & set(backups)
+        )
+        return bool(is_better_possible) and self.now - attempt.started_at < RETRY_INTERVAL_S / 3
 
     def has_lost_lease(self, machine: str) -> bool:
         """Whether a machine was the primary, and has not asked this member for its lease in time."""
@@ -300,10 +319,11 @@
         silence_s = BACKUP_TIMEOUT_S if has_replacement else MEMBER_TIMEOUT_S
         leaving_members = self.leaving_members()
         removable = [member for member in others if self.is_silent(member, present, silence_s)]
-        # A leaving member that is the only possible backup stays until another machine can be the backup.
-        if any(member in present and member not in leaving_members for member in others):
+        # A leaving member that is needed as a backup stays until another machine can be one.
+        staying = [member for member in others if member in present and member not in leaving_members]
+        if len(staying) >= self.backup_count:
             removable += [member for member in others if member in leaving_members]
-        return next_members(record, self.identity, joiners, removable)
+        return next_members(record, self.identity, joiners, removable, self.min_members())
 
     def is_silent(self, member: str, present: set[str], silence: float) -> bool:
         """Whether a member has sent nothing for `silence` seconds.
@@ -315,7 +335,7 @@
         return self.led_epoch is not None and member not in present and silent
 
     def transfer_state(self, attempt: ElectionAttempt) -> None:
-        """Send the new epoch's state to its backup."""
+        """Send the new epoch's state to the backups that have not stored it."""
         state = self.state
         assert attempt.epoch_record is not None and state is not None
         attempt.next_request_at = self.now + TRANSFER_RETRY_INTERVAL_S
@@ -327,10 +347,11 @@
             self.history.changes(),
             self.record_replication.store.root_digest(),
         )
-        self.send(address_of(attempt.epoch_record.backup), transfer)
+        for backup in attempt.backups_without_state():
+            self.send(address_of(backup), transfer)
 
     def on_state_transfer(self, source: str, message: StateTransfer) -> None:
-        """Store a new epoch's state as its backup; acknowledge it once the record stores are equal."""
+        """Store a new epoch's state as a backup; acknowledge it once the record stores are equal."""
         number = message.epoch
         if number < self.promised or (number == self.promised and message.sender != self.promised_to):
             self.send_refusal(source)
@@ -353,12 +374,11 @@
         attempt = self.attempt
         if attempt is None or attempt.epoch_record is None or message.epoch != attempt.number:
             return
-        if attempt.backup_has_state:
-            return
-        if message.sender == attempt.epoch_record.backup:
-            attempt.backup_has_state = True
+        if message.sender in attempt.backups_without_state():
+            attempt.stored_by.add(message.sender)
             attempt.last_progress_at = self.last_received_at[message.sender] = self.now
-            self.accept_own_record(attempt)
+            if not attempt.backups_without_state():
+                self.accept_own_record(attempt)
 
     # --- acceptance of the epoch record -----------------------------------------------------------------
 
@@ -416,13 +436,18 @@
         if not was_primary:
             self.lease_grants = {}  # grants to the primary of an epoch carry over to its next epoch
         self.had_majority_at = self.now
-        # The backup has just answered; the silence of the other members counts from now at the earliest.
+        # The backups have just answered; the silence of the other members counts from now at the earliest.
         for member in record.members:
             self.last_received_at.setdefault(member, self.now)
             self.join_requested_at.pop(member, None)
-        self.last_received_at[record.backup] = self.now
-        roles = f"primary {address_of(self.identity)}, backup {address_of(record.backup)}"
+        for backup in record.backups():
+            self.last_received_at[backup] = self.now
+        backups = ", ".join(f"backup {address_of(backup)}" for backup in record.backups())
+        roles = f"primary {address_of(self.identity)}, {backups}"
         self.log(f"epoch {record.number} is in force: {roles}, {len(record.members)} members")
+        if not self.has_enough_copies():
+            held, needed = len(record.copies()), self.backup_count + 1
+            self.log(f"changes wait for more machines: {held} of {needed} hold a copy")
         self.rewrite_pending()
         self.record_replication.complete_pending()
         self.on_became_primary()
--- a/ivymux/config_store/idempotency.py
+++ b/ivymux/config_store/idempotency.py
@@ -1,9 +1,9 @@
-"""Replication of idempotency records and replicated settings between an epoch's primary and backup.  Pure.
+"""Replication of idempotency records and replicated settings between an epoch's primary and backups.  Pure.
 
-Like a change of the configuration, a change of a record is on two disks before it is acknowledged, under the
-same epochs and leases.  A new backup does not receive the whole record store: the copies are compared by
-digests over ranges of keys, and ranges that differ are repaired from the primary's copy before the epoch
-comes into force.  While it is in force, the copies are compared periodically.
+Like a change of the configuration, a change of a record is on the primary's disk and on all backups' before
+it is acknowledged, under the same epochs and leases.  A new backup does not receive the whole record store:
+the copies are compared by digests over ranges of keys, and ranges that differ are repaired from the primary's
+copy before the epoch comes into force.  While it is in force, the copies are compared periodically.
 
 A replicated setting is an internal setting of the system with a name, a version and a text; it is broadcast
 to all core machines.  It is stored as a record that never expires.
@@ -93,14 +93,13 @@
 
 @dataclass(slots=True)
 class PendingRecord:
-    """A change of a record that is not on both disks yet, with the calls that wait for it."""
+    """A change of a record that is not on all disks of the epoch yet, with the calls that wait for it."""
 
     record: IdempotencyRecord
     calls: list[int]
     sent_at: float
     written_at: float
-    on_own_disk: bool = False
-    on_backup: bool = False
+    stored_by: set[str] = field(default_factory=set)  # the primary and the backups whose disks hold it
 
 
 def setting_record(name: str, version: int, text: str) -> IdempotencyRecord:
@@ -163,7 +162,7 @@
         raise IdempotencyRecordError(f"no such call: {type(call).__name__}")
 
     def reply(self, answer: dict[str, Any], wait: bool = False) -> Reply:
-        """Return the reply to a call; with `wait`, it is sent once both disks hold the change."""
+        """Return the reply to a call; with `wait`, it is sent once all disks hold the change."""
         return Reply(self.replica.actions, answer, wait)
 
     def reply_after(self, pending: PendingRecord | None, call_id: int, answer: dict[str, Any]) -> Reply:
@@ -181,7 +180,7 @@
         held = self.store.records.get(record.key)
         pending = self.pending_for(record.key)
         if verdict.kind != PROCEED:
-            if pending is not None:  # a state that is not on both disks yet must not be reported
+            if pending is not None:  # a state that is not on all disks yet must not be reported
                 verdict = Verdict(IN_PROGRESS, PENDING_RETRY_AFTER_S)
             return self.reply(verdict_answer(verdict))
         if held is not None and held.claim == record.claim and held.state == OPEN:
@@ -234,38 +233,53 @@
     # --- at the primary ----------------------------------------------------------------------------------
 
     def replicate(self, record: IdempotencyRecord, call_id: int) -> None:
-        """Write a change to both disks; the call is answered once both have it."""
+        """Write a change to all disks of the epoch; the call is answered once all have it."""
         replica = self.replica
         assert replica.led_epoch is not None
         first_number = replica.led_epoch.number * CHANGE_NUMBERS_PER_EPOCH
         self.last_change_number = max(self.last_change_number, first_number) + 1
         record = replace(record, change_number=self.last_change_number)
         self.store.apply(record, replica.now)
-        self.pending[record.change_number] = PendingRecord(record, [call_id], replica.now, replica.now)
-        self.send_to_backup(record)
+        pending = PendingRecord(record, [call_id], replica.now, replica.now)
+        self.pending[record.change_number] = pending
+        self.send_to_backups(pending)
         replica.actions.append(Persist(idempotency_records=((record.key, record),)))
         stored = RecordStored(replica.identity, replica.led_epoch.number, record.change_number)
         replica.send(address_of(replica.identity), stored)
 
-    def send_to_backup(self, record: IdempotencyRecord) -> None:
-        epoch, backup = self.epoch_and_backup()
-        self.replica.send(backup, RecordWrite(self.replica.identity, epoch, record))
+    def send_to_backups(self, pending: PendingRecord) -> None:
+        """Send a change to the backups that have not stored it."""
+        epoch = self.epoch_to_replicate()
+        write = RecordWrite(self.replica.identity, epoch.number, pending.record)
+        for backup in epoch.backups():
+            if backup not in pending.stored_by:
+                self.replica.send(address_of(backup), write)
 
-    def epoch_and_backup(self) -> tuple[int, str]:
-        """Return the epoch under which records are sent to the backup, and the backup's address."""
+    def epoch_to_replicate(self) -> EpochRecord:
+        """Return the epoch under which records are sent to its backups."""
         attempt = self.replica.attempt
         epoch = attempt.epoch_record if attempt is not None and attempt.epoch_record is not None else None
         epoch = epoch or self.replica.led_epoch
         assert epoch is not None
-        return epoch.number, address_of(epoch.backup)
+        return epoch
 
-    def waiting_for_backup_since(self) -> float:
-        """Return when the oldest change that only the primary's disk holds was written; infinity if none."""
-        written_at = [p.written_at for p in self.pending.values() if p.on_own_disk and not p.on_backup]
-        return min(written_at, default=math.inf)
+    def waiting_since(self, backup: str) -> float:
+        """Return when the oldest change that the primary's disk holds and a backup's does not was written.
+
+        Returns infinity if there is none.
+        """
+        primary = self.replica.identity
+        return min(
+            (
+                pending.written_at
+                for pending in self.pending.values()
+                if primary in pending.stored_by and backup not in pending.stored_by
+            ),
+            default=math.inf,
+        )
 
     def on_record_stored(self, source: str, message: RecordStored) -> None:
-        """Note that a disk holds a change, and complete the change once both disks hold it."""
+        """Note that a disk holds a change, and complete the change once all disks hold it."""
         replica = self.replica
         replica.last_received_at[message.sender] = replica.now
         epoch = replica.led_epoch
@@ -274,9 +288,8 @@
         pending = self.pending.get(message.change_number)
         if pending is None:
             return
-        pending.on_own_disk = pending.on_own_disk or message.sender == replica.identity
-        pending.on_backup = pending.on_backup or message.sender == epoch.backup
-        if pending.on_own_disk and pending.on_backup:
+        pending.stored_by.add(message.sender)
+        if pending.stored_by >= set(epoch.copies()):
             del self.pending[message.change_number]
             replica.actions += [Complete(call_id) for call_id in pending.calls]
             if pending.record.is_setting:
@@ -290,21 +303,22 @@
         for pending in self.pending.values():
             if now - pending.sent_at > RETRY_INTERVAL_S:
                 pending.sent_at = now
-                self.send_to_backup(pending.record)
+                self.send_to_backups(pending)
         if now >= self.next_sweep_at:
             self.next_sweep_at = now + SWEEP_INTERVAL_S
             self.remove_expired()
         if now >= self.next_compare_at:
             self.next_compare_at = now + COMPARE_INTERVAL_S
             if self.store.records and not self.pending:
-                epoch, backup = self.epoch_and_backup()
-                digest = RecordDigest(self.replica.identity, epoch, self.store.root_digest())
-                self.replica.send(backup, digest)
+                epoch = self.epoch_to_replicate()
+                digest = RecordDigest(self.replica.identity, epoch.number, self.store.root_digest())
+                for backup in epoch.backups():
+                    self.replica.send(address_of(backup), digest)
         if len(self.settings) < len(self.store.settings):
             self.publish_settings()
 
     def remove_expired(self) -> None:
-        """Remove records whose retention time is over, here and at the backup."""
+        """Remove records whose retention time is over, here and at the backups."""
         expired = [
             key
             for key in self.store.expired_keys(self.limits, self.replica.now)
@@ -312,8 +326,10 @@
         ]
         if expired and not self.pending:
             self.remove(expired)
-            epoch, backup = self.epoch_and_backup()
-            self.replica.send(backup, RecordsExpired(self.replica.identity, epoch, tuple(expired)))
+            epoch = self.epoch_to_replicate()
+            message = RecordsExpired(self.replica.identity, epoch.number, tuple(expired))
+            for backup in epoch.backups():
+                self.replica.send(address_of(backup), message)
 
     def remove(self, keys: list[str]) -> None:
         """Remove records from this copy and its disk."""
@@ -323,9 +339,10 @@
             self.replica.actions.append(Persist(idempotency_records=tuple((key, None) for key in keys)))
 
     def on_record_range_digests(self, source: str, message: RecordRangeDigests) -> None:
-        """Send the backup the ranges in which its copy differs from this one."""
-        if message.sender != self.backup_to_repair(message.epoch):
+        """Send a backup the ranges in which its copy differs from this one."""
+        if message.sender not in self.backups_to_repair(message.epoch):
             return
+        backup = address_of(message.sender)
         if len(message.digests) != len(self.store.digests):
             return
         ranges: list[tuple[int, tuple[IdempotencyRecord, ...]]] = []
@@ -333,21 +350,24 @@
         for number, records in self.store.records_in_ranges(differing).items():
             ranges.append((number, tuple(records)))
             if sum(len(in_range) for _, in_range in ranges) >= MAX_RECORDS_IN_REPAIR:
-                self.send_repair(ranges, last=False)
+                self.send_repair(backup, ranges, last=False)
                 ranges = []
-        self.send_repair(ranges, last=True)
+        self.send_repair(backup, ranges, last=True)
 
-    def backup_to_repair(self, epoch: int) -> str:
-        """Return the backup of an epoch, before the epoch is in force or while it is; empty if neither."""
+    def backups_to_repair(self, epoch: int) -> tuple[str, ...]:
+        """Return the backups of an epoch, before the epoch is in force or while it is; none if neither."""
         attempt, led_epoch = self.replica.attempt, self.replica.led_epoch
         if attempt is not None and attempt.epoch_record is not None and attempt.number == epoch:
-            return attempt.epoch_record.backup
+            return attempt.epoch_record.backups()
         if led_epoch is None or led_epoch.number != epoch or not self.replica.is_writable():
-            return ""
-        return led_epoch.backup if not self.pending else ""
-
-    def send_repair(self, ranges: list[tuple[int, tuple[IdempotencyRecord, ...]]], last: bool) -> None:
-        epoch, backup = self.epoch_and_backup()
+            return ()
+        return led_epoch.backups() if not self.pending else ()
+
+    def send_repair(
+        self, backup: str, ranges: list[tuple[int, tuple[IdempotencyRecord, ...]]], last: bool
+    ) -> None:
+        """Send ranges of this copy to a backup at an address; the last message carries the store's digest."""
+        epoch = self.epoch_to_replicate().number
         digest = self.store.root_digest() if last else None
         repair = RecordRepair(self.replica.identity, epoch, self.last_change_number, tuple(ranges), digest)
         self.replica.send(backup, repair)
@@ -355,7 +375,7 @@
     def complete_pending(self) -> None:
         """Acknowledge all pending changes.
 
-        Called when a new epoch comes into force: its backup's copy equals this one, so both disks hold them.
+        Called when a new epoch comes into force: its backups' copies equal this one, so all disks hold them.
         """
         for pending in self.pending.values():
             self.replica.actions += [Complete(call_id) for call_id in pending.calls]
@@ -365,7 +385,7 @@
         """Forget pending changes without an acknowledgement, as this machine is no longer the primary."""
         self.pending.clear()
 
-    # --- at the backup -----------------------------------------------------------------------------------
+    # --- at a backup -------------------------------------------------------------------------------------
 
     def is_backup_of(self, primary: str, epoch: int) -> bool:
         """Whether this machine follows a primary in an epoch, and holds that epoch's state."""
@@ -426,7 +446,7 @@
         return sum(setting.version + 1 for setting in self.settings.values())
 
     def publish_settings(self) -> None:
-        """Broadcast the settings that are on both disks."""
+        """Broadcast the settings that are on all disks of the epoch."""
         stored = [
             record for record in self.store.settings.values() if record.change_number not in self.pending
         ]
--- a/ivymux/config_store/leadership.py
+++ b/ivymux/config_store/leadership.py
@@ -24,7 +24,6 @@
     LEASE_S,
     LOST_MAJORITY_TIMEOUT_S,
     MIN_DEFERRAL_S,
-    MIN_MEMBERS,
     RECLAIM_DELAY_S,
     RENEWAL_INTERVAL_S,
     RENEWALS_PER_RECORD,
@@ -35,8 +34,8 @@
 class Leadership(Elections):
     """A replica as the primary of an epoch in force, and as a member that grants the primary its lease."""
 
-    def __init__(self, durable: DurableState, now: float) -> None:
-        super().__init__(durable, now)
+    def __init__(self, durable: DurableState, now: float, backup_count: int = 1) -> None:
+        super().__init__(durable, now, backup_count)
         self.next_broadcast_at = 0.0  # of a lease request, or of a join request
         self.renewal_count = 0
         self.next_announcement_at = now + 2 * LEASE_S
@@ -104,30 +103,38 @@
         staying = {m for m in present if m in record.members and m not in leaving_members}
         if self.highest_promise_seen > record.number:
             self.begin_attempt("a member has promised a higher epoch")
-        elif not self.is_writable():
+        elif not self.has_current_state():
             self.begin_attempt("the last attempt did not finish")
-        elif self.now - self.last_received_at.get(record.backup, self.now) > BACKUP_TIMEOUT_S:
+        elif any(self.is_silent_backup(backup) for backup in record.backups()):
             if is_majority(record.members, present):
                 self.begin_attempt("the backup is silent")
-        elif self.may_replace_hanging_backup(record, present):
-            self.distrusted_until[record.backup] = self.now + DISK_DISTRUST_S
+        elif hanging := self.replaceable_hanging_backups(record, present):
+            for backup in hanging:
+                self.distrusted_until[backup] = self.now + DISK_DISTRUST_S
             self.begin_attempt("the backup's disk does not answer")
-        elif record.backup in leaving_members and staying - {self.identity, record.backup}:
+        elif leaving_members & set(record.backups()) and staying - set(record.copies()):
             self.begin_attempt("the backup leaves")
+        elif not self.has_enough_copies() and staying - set(record.copies()) - self.unfit_backups():
+            self.begin_attempt("more copies are needed")
         elif self.leaving_since is not None:
-            self.hand_over_when_drained(record.backup in staying)
+            self.hand_over_when_drained(bool(staying & set(record.backups())))
         elif self.next_epoch_members(record, present) != record.members:
             self.begin_attempt("the members change")
 
-    def may_replace_hanging_backup(self, record: EpochRecord, present: set[str]) -> bool:
-        """Whether the backup's disk has not answered for too long, and another member can be the backup.
+    def is_silent_backup(self, backup: str) -> bool:
+        """Whether a backup has sent nothing for too long."""
+        return self.now - self.last_received_at.get(backup, self.now) > BACKUP_TIMEOUT_S
 
-        The backup's process may still answer, as its lease grants need no disk.
+    def replaceable_hanging_backups(self, record: EpochRecord, present: set[str]) -> set[str]:
+        """Return the backups whose disks have not answered for too long, if other members can replace them.
+
+        A backup's process may still answer, as its lease grants need no disk.
         """
-        if self.now - self.waiting_for_backup_since() <= BACKUP_DISK_TIMEOUT_S:
-            return False
-        others = (present & set(record.members)) - {self.identity, record.backup}
-        return bool(others - self.unfit_backups()) and is_majority(record.members, {self.identity} | others)
+        hanging = {b for b in record.backups() if self.now - self.waiting_since(b) > BACKUP_DISK_TIMEOUT_S}
+        others = (present & set(record.members)) - {self.identity, *hanging}
+        able = others - self.unfit_backups()
+        is_possible = len(able) >= self.backup_count and is_majority(record.members, {self.identity} | others)
+        return hanging if is_possible else set()
 
     # --- leases ----------------------------------------------------------------------------------------
 
@@ -235,12 +242,12 @@
 
     def may_release(self, leaver: str, record: EpochRecord) -> bool:
         """Whether a leaving machine holds no copy of the state and is not needed for a majority."""
-        if self.attempt is not None or leaver in (record.primary, record.backup):
+        if self.attempt is not None or leaver in record.copies():
             return False
         if leaver not in record.members:
             return True
         enough_stay = is_majority(record.members, self.reachable_machines() - self.leaving_members())
-        return enough_stay and len(record.members) <= MIN_MEMBERS
+        return enough_stay and len(record.members) <= self.min_members()
 
     def on_departure_granted(self, source: str, message: DepartureGranted) -> None:
         if self.leaving_since is not None and self.led_epoch is None:
@@ -255,12 +262,12 @@
             self.leased_until = 0.0
         if sender_was_primary:
             self.restart_lease_until = 0.0
-        self.next_attempt_at = 0.0
+        self.next_attempt_at = self.now + self.takeover_delay_s()
         if self.led_epoch is None and self.attempt is None and self.may_begin_attempt():
             self.begin_attempt("the primary leaves")
 
     def hand_over_when_drained(self, backup_stays: bool) -> None:
-        """Release the leadership to the backup once pending changes are complete or DRAIN_S is over."""
+        """Release the leadership to a backup once pending changes are complete or DRAIN_S is over."""
         assert self.leaving_since is not None
         is_drained = not self.pending and not self.record_replication.pending
         if not backup_stays or not (is_drained or self.now - self.leaving_since > DRAIN_S):
@@ -275,4 +282,4 @@
         if self.leaving_since is None:
             return False
         is_outsider = self.known_epoch is None or (self.known_epoch.number > 0 and not self.is_voter())
-        return self.departure_granted or (is_outsider and not self.is_in_pair())
+        return self.departure_granted or (is_outsider and not self.holds_copy())
--- a/ivymux/config_store/membership.py
+++ b/ivymux/config_store/membership.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable, Sequence
 
 from ivymux.config_store.records import EpochRecord, Membership, address_of, is_majority
-from ivymux.config_store.timing import MIN_MEMBERS
 
 
 def newest_record(records: Iterable[EpochRecord]) -> EpochRecord:
@@ -35,13 +34,13 @@
 
 
 def next_members(
-    record: EpochRecord, identity: str, joining: Iterable[str], removable: Sequence[str]
+    record: EpochRecord, identity: str, joining: Iterable[str], removable: Sequence[str], min_members: int
 ) -> tuple[str, ...]:
     """Return the next epoch's members, which differ from `record`'s by at most one machine.
 
     A joining machine replaces the member at its own address, whose disk was lost; else it replaces a
     member in `removable`, which is silent or leaves; else it is added.  Without a joining machine, a member
-    in `removable` is removed while more than MIN_MEMBERS are left.
+    in `removable` is removed while more than `min_members` are left.
     """
     members = list(record.members)
     joiner = next((machine for machine in joining if machine not in members), None)
@@ -54,7 +53,7 @@
         members[members.index(replaced)] = joiner
     elif joiner is not None:
         members.append(joiner)
-    elif replaced is not None and len(members) > MIN_MEMBERS:
+    elif replaced is not None and len(members) > min_members:
         members.remove(replaced)
     return tuple(members)
 
@@ -66,17 +65,17 @@
     return next((member for member in members if address_of(member) == address_of(joiner)), None)
 
 
-def choose_backup(
-    record: EpochRecord, identity: str, able: Iterable[str], unfit: Iterable[str], partner: str
-) -> str | None:
-    """Return the backup: preferably `partner`, then another member, then a joining machine.
+def choose_backups(
+    record: EpochRecord, identity: str, able: Iterable[str], unfit: Iterable[str], count: int
+) -> tuple[str, ...]:
+    """Return `count` backups: preferably machines that hold the state, then members, then joining machines.
 
-    The partner holds the state: it is the other one of the previous epoch's primary and backup.
-    A machine in `unfit` comes after every other one.  Returns None where no machine is `able`.
+    `record`: of the previous epoch, whose primary and backups hold the state.  A machine in `unfit` comes
+    after every other one.  Returns fewer where not enough machines are `able`.
     """
-    avoided = set(unfit)
-    return min(
+    avoided, holders = set(unfit), set(record.copies())
+    ranked = sorted(
         (member for member in able if member != identity),
-        key=lambda m: (m in avoided, m != partner, m not in record.members, address_of(m)),
-        default=None,
+        key=lambda m: (m in avoided, m not in holders, m not in record.members, address_of(m)),
     )
+    return tuple(ranked[:count])
--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -66,7 +66,7 @@
         durable = self.durable_store.load(settings.ip, settings.is_initial_start, seeds)
         sync_folder(settings.data_path)
         sync_folder(settings.data_path / FOLDER)
-        self.replica = Replica(durable, time.monotonic())
+        self.replica = Replica(durable, time.monotonic(), settings.backup_count)
         self.disk_executor = ThreadPoolExecutor(1)
         self.queue: deque[Action] = deque()  # actions that wait for the write in progress
         self.writing: list[Persist] = []  # the write in progress
@@ -74,7 +74,7 @@
         self.peers: dict[str, Connector] = {}  # by address
         self.listener = Listener(self.on_message, on_disconnect=self.on_disconnect)
         self.registries: set[Connection] = set()  # that receive updates
-        self.calls: dict[int, asyncio.Future[None]] = {}  # waiting for both disks, by id
+        self.calls: dict[int, asyncio.Future[None]] = {}  # waiting for all disks of the epoch, by id
         self.last_call_id = 0
         self.published: Publish | None = None  # the configuration in force
         self.cores: list[str] = []  # addresses, as last sent to registries
--- a/ivymux/config_store/records.py
+++ b/ivymux/config_store/records.py
@@ -21,7 +21,7 @@
 
 
 class EpochRecord(msgspec.Struct, frozen=True, array_like=True):
-    """One epoch: its primary, its backup, and the members that form its majorities.
+    """One epoch: its primary, its backups, and the members that form its majorities.
 
     Until the epoch is known to be in force, an election also needs majorities of the joint memberships: those
     of the epochs before it that may be in force instead, where their members differ.
@@ -32,6 +32,15 @@
     backup: str
     members: tuple[str, ...]
     joint_memberships: tuple[Membership, ...] = ()
+    other_backups: tuple[str, ...] = ()  # beside `backup`, where more than one disk may be lost at once
+
+    def backups(self) -> tuple[str, ...]:
+        """Return the machines that store every change before it is acknowledged, beside the primary."""
+        return (self.backup, *self.other_backups)
+
+    def copies(self) -> tuple[str, ...]:
+        """Return the machines that hold the state: the primary and the backups."""
+        return (self.primary, *self.backups())
 
     def memberships(self) -> tuple[Membership, ...]:
         """Return all memberships of which an election needs a majority."""
@@ -47,7 +56,7 @@
 
 
 class ConfigurationState(msgspec.Struct, frozen=True, array_like=True):
-    """The configuration's text as the primary and the backup store it, under the epoch that it belongs to."""
+    """The configuration's text as the primary and the backups store it, under the epoch it belongs to."""
 
     epoch: int
     version: int
--- a/ivymux/config_store/replica.py
+++ b/ivymux/config_store/replica.py
@@ -1,14 +1,14 @@
 """One core machine's replica: entry points for messages, calls, ticks and the end of the process.  Pure.
 
-An epoch names a primary, a backup and the members whose majority decides.  Members that are neither primary
-nor backup store only epoch records (witnesses).
+An epoch names a primary, one or more backups and the members whose majority decides.  Members that are
+neither primary nor backup store only epoch records (witnesses).
 
 * Fencing: a member that has promised epoch n ignores every lower epoch.
-* A new epoch needs the promises of a majority of the members of the newest epoch that any of them knows.
-  Only that epoch's primary or backup may make it, and only if it holds the whole state of that epoch.
-* An epoch is in force once its backup's disk holds the whole state, and the disks of a majority of the old
-  members and of a majority of the new members hold its record.
-* A primary writes to its own disk and to its backup's before it acknowledges.  It reads and acknowledges only
+* A new epoch needs the promises of majorities of the members of every epoch that may be in force.  Only the
+  primary or a backup of the newest of them may make it, and only if it holds the whole state of that epoch.
+* An epoch is in force once its backups' disks hold the whole state, and the disks of the same majorities and
+  of a majority of the new members hold its record.
+* A primary writes to its own disk and to all backups' before it acknowledges.  It reads and acknowledges only
   under the lease of a majority, which it stops using before any of the members counts it as expired.
 * A primary that makes the next epoch itself stays the primary meanwhile, under the same lease.  It still
   serves reads; once the next epoch's state is fixed, new changes wait until that epoch is in force.
@@ -38,8 +38,8 @@
 class Replica(Leadership):
     """A complete replica.  The host passes in steady time and carries out the returned actions in order."""
 
-    def __init__(self, durable: DurableState, now: float) -> None:
-        super().__init__(durable, now)
+    def __init__(self, durable: DurableState, now: float, backup_count: int = 1) -> None:
+        super().__init__(durable, now, backup_count)
         replication = self.record_replication
         self.handlers: dict[type[ReplicaMessage], Callable[[str, Any], None]] = {
             messages.PromiseRequest: self.on_promise_request,
--- a/ivymux/config_store/replica_state.py
+++ b/ivymux/config_store/replica_state.py
@@ -29,7 +29,7 @@
     memberships: tuple[Membership, ...] = ()
     # Set once a majority has promised; the state of the new epoch is fixed from then on.
     epoch_record: EpochRecord | None = None
-    backup_has_state: bool = False  # on its disk
+    stored_by: set[str] = field(default_factory=set)  # backups whose disks hold the epoch's state
     accepted_by: set[str] = field(default_factory=set)
     refused_by: set[str] = field(
         default_factory=set
@@ -38,15 +38,23 @@
     next_request_at: float = 0.0
     still_writing_at: float = NEVER  # when a member last reported that its disk is still writing
 
+    def backups_without_state(self) -> tuple[str, ...]:
+        """Return the new epoch's backups whose disks do not hold its state yet."""
+        if self.epoch_record is None:
+            return ()
+        return tuple(backup for backup in self.epoch_record.backups() if backup not in self.stored_by)
+
 
 class ReplicaState:
     """State and helpers that all parts of a replica share; `now` is the machine's steady time in seconds."""
 
     record_replication_class = RecordReplication
 
-    def __init__(self, durable: DurableState, now: float) -> None:
+    def __init__(self, durable: DurableState, now: float, backup_count: int = 1) -> None:
+        """`backup_count`: of an epoch that this machine makes; as many disks may be lost at once."""
         self.identity = durable.identity
         self.now = now
+        self.backup_count = backup_count
         self.actions: list[Action] = []
         # What is on disk, or being written.
         self.known_epoch, self.state = durable.epoch_record, durable.state
@@ -114,10 +122,9 @@
         """Whether this machine's vote may count in an election, by the newest epoch that it knows."""
         return self.known_epoch is not None and self.identity in self.known_epoch.voters()
 
-    def is_in_pair(self) -> bool:
-        """Whether this machine is the primary or the backup of the newest epoch that it knows."""
-        epoch = self.known_epoch
-        return epoch is not None and self.identity in (epoch.primary, epoch.backup)
+    def holds_copy(self) -> bool:
+        """Whether this machine is the primary or a backup of the newest epoch that it knows."""
+        return self.known_epoch is not None and self.identity in self.known_epoch.copies()
 
     def leaving_members(self) -> set[str]:
         """Return the machines that are leaving.
@@ -131,6 +138,13 @@
         distrusted = {member for member, until in self.distrusted_until.items() if self.now < until}
         return self.leaving_members() | distrusted
 
+    def min_members(self) -> int:
+        """Return how many members remain a majority after as many losses as there are backups.
+
+        Below this, no member is removed without a replacement.
+        """
+        return 2 * self.backup_count + 1
+
     def is_founder(self) -> bool:
         """Whether this machine is a seed of the system's first start, before the first epoch."""
         epoch = self.known_epoch
@@ -149,10 +163,21 @@
         epochs = (self.led_epoch, self.known_epoch) if has_next_epoch else (self.led_epoch,)
         return all(is_majority(epoch.members, votes) for epoch in epochs)
 
+    def has_enough_copies(self) -> bool:
+        """Whether the epoch in force has as many backups as this machine has to keep.
+
+        Where the core has too few members for that, its epochs have fewer, and no change is acknowledged.
+        """
+        return self.led_epoch is not None and len(self.led_epoch.backups()) >= self.backup_count
+
     def is_writable(self) -> bool:
-        """Whether changes may be written under the epoch in force.
+        """Whether changes may be written, and acknowledged, under the epoch in force."""
+        return self.has_enough_copies() and self.has_current_state()
+
+    def has_current_state(self) -> bool:
+        """Whether the state belongs to the epoch in force.
 
-        They may not once the state of the next epoch is fixed, as its primary might not have them.
+        It does not once the state of the next epoch is fixed, whose primary might not have later changes.
         """
         if self.led_epoch is None or self.state is None:
             return False
@@ -194,7 +219,7 @@
             self.actions.append(Persist(epoch_record=self.known_epoch, same_primary=True))
 
     def step_down(self, why: str) -> None:
-        """Stop being the primary; changes that are not on both disks are not acknowledged."""
+        """Stop being the primary; changes that are not on all disks of the epoch are not acknowledged."""
         if self.led_epoch is None:
             return
         self.log(f"no longer the primary of epoch {self.led_epoch.number}: {why}")
@@ -204,5 +229,5 @@
         self.drop_unacknowledged()
 
     def drop_unacknowledged(self) -> None:
-        """Forget changes that are not on both disks."""
+        """Forget changes that are not on all disks of the epoch."""
         self.record_replication.drop_pending()
--- a/ivymux/config_store/timing.py
+++ b/ivymux/config_store/timing.py
@@ -1,4 +1,4 @@
-"""Intervals and time-outs of replicas, and bounds on memberships."""
+"""Intervals and time-outs of replicas."""
 
 # Leases.
 LEASE_S = 0.75  # for which a member grants its lease, from when it receives the request
@@ -14,7 +14,6 @@
 DISK_DISTRUST_S = 20.0  # for which a member whose disk timed out becomes the backup only if no other can
 MEMBER_TIMEOUT_S = 2.5  # without a message, after which a member is removed if enough others remain
 JOIN_INTERVAL_S = 0.3  # between the requests of a machine that asks to become a member
-MIN_MEMBERS = 3  # below this, no member is removed without a replacement
 
 # Elections.
 RETRY_INTERVAL_S = 0.35  # after which an unanswered request for a new epoch or to the backup is repeated
@@ -27,6 +26,7 @@
 # Pauses after a stalled or a refused attempt, times the number of failed attempts, at most times the factor.
 STALL_PAUSE_S, MAX_STALL_FACTOR = 0.05, 8
 REFUSAL_PAUSE_S, REFUSAL_RANK_PAUSE_S, MAX_REFUSAL_FACTOR = 0.03, 0.15, 4  # the rank pause is added per rank
+TAKEOVER_RANK_DELAY_S = 0.2  # between the attempts of an epoch's backups; an election takes less
 
 # A primary whose process ends.
 DRAIN_S = 0.3  # for which the primary lets pending changes complete before it hands over
--- a/ivymux/runtime/settings.py
+++ b/ivymux/runtime/settings.py
@@ -17,6 +17,7 @@
 from ivymux.data_plane.limits import Address, ConfigError, parse_address
 from ivymux.runtime.early_listener import SETTINGS_FILE_VARIABLE
 
+MAX_MACHINE_LOSSES = 8  # more copies would cost more than a core of this size bears
 DURATION = re.compile(r"(\d{1,12}(?:\.\d{1,9})?)(ms|s)", re.ASCII)
 
 
@@ -72,8 +73,9 @@
 
 @dataclass
 class TermsTable:
-    """The bounds that the platform holds the system to."""
+    """The bounds that the platform holds the system to, and how much may be lost at once."""
 
+    fault_tolerance: dict[str, Any] = field(default_factory=dict)
     timing_bounds: dict[str, Any] = field(default_factory=dict)
 
 
@@ -124,9 +126,20 @@
         self.quota_window_s = duration_bound(bounds, "quota_window", "5s")
         self.quota_excess = number_bound(bounds, "quota_excess", 0.0)  # share of a quota
         self.quota_slack = number_bound(bounds, "quota_slack", 0.0)  # requests
+        # Beside the primary, so that as many disks may be lost at once; one is always kept.
+        self.backup_count = max(1, machine_losses(file.terms_table.fault_tolerance))
         self.max_trial_s = seconds(file.trials.longest, "trials.longest")
 
 
+def machine_losses(tolerance: dict[str, Any]) -> int:
+    """Return how many machines with a disk may be lost at once.  Raises SettingsError."""
+    losses = tolerance.get("machine_losses", 1)
+    if not isinstance(losses, int) or isinstance(losses, bool) or not 0 <= losses <= MAX_MACHINE_LOSSES:
+        where = "terms_table.fault_tolerance.machine_losses"
+        raise SettingsError(f"{where}: write a whole number from 0 to {MAX_MACHINE_LOSSES}, not {losses!r}")
+    return losses
+
+
 def address(text: str, where: str) -> Address:
     """Parse `HOST:PORT`.  Raises SettingsError."""
     try:
--- a/ivymux/simulation/core_cluster.py
+++ b/ivymux/simulation/core_cluster.py
@@ -77,6 +77,7 @@
     ) -> None:
         self.random = random.Random(seed)
         self.make_replica = replica
+        self.backup_count = 1  # of each epoch
         self.now = 0.0
         self.events: list[tuple[float, int, Callable[[], None]]] = []
         self.order = itertools.count()
@@ -141,6 +142,7 @@
             return
         machine.incarnation += 1
         machine.replica = self.make_replica(machine.disk.durable, self.now)
+        machine.replica.backup_count = self.backup_count
         machine.queued, machine.committing, machine.after_commit, machine.deferred = [], [], [], None
         machine.open_changes, machine.open_calls, machine.published_version = {}, {}, -1
         self.tick(machine, machine.incarnation)
--- a/ivymux/simulation/local_cluster.py
+++ b/ivymux/simulation/local_cluster.py
@@ -62,6 +62,7 @@
     ) -> None:
         """`entry_point`: the interpreter's arguments that start a program, before its role and settings."""
         self.folder, self.entry_point = folder, entry_point
+        self.machine_losses = 1  # disks that may be lost at once
         net = f"127.{40 + os.getpid() % 200}.{(os.getpid() // 200) % 250}"
         self.core_ips = [f"{net}.{n}" for n in range(1, core_count + 1)]
         self.proxy_ips = [f"{net}.{n}" for n in range(101, 101 + proxy_count)]
@@ -95,7 +96,10 @@
                 "seed_nodes": [f"{core_ip}:8529" for core_ip in self.core_ips[:3]],
             },
             "platform_table": {"beat_period": f"{HEARTBEAT_PERIOD_S}s"},
-            "terms_table": {"timing_bounds": {"quota_excess": 0.1, "quota_slack": 20, "grace": "3s"}},
+            "terms_table": {
+                "fault_tolerance": {"machine_losses": self.machine_losses},
+                "timing_bounds": {"quota_excess": 0.1, "quota_slack": 20, "grace": "3s"},
+            },
         }  # fmt: skip
         path = self.folder / f"{ip}.yaml"
         path.write_text(yaml.safe_dump(settings))
@@ -135,6 +139,12 @@
         log = (self.folder / LOG_FILE_NAME).read_text()
         return log.split("is in force: primary ")[-1].split(",")[0]
 
+    def copy_holders(self) -> list[str]:
+        """Return the addresses of the primary and the backups, as last logged."""
+        log = (self.folder / LOG_FILE_NAME).read_text()
+        *roles, _ = log.split("is in force: ")[-1].partition(" members")[0].split(", ")
+        return [role.split(" ")[1] for role in roles]
+
     async def wipe(self, ip: str) -> None:
         """Kill a machine and delete its data."""
         await self.kill(ip)
--- a/ivymux/simulation/loss_scenarios.py
+++ b/ivymux/simulation/loss_scenarios.py
@@ -5,11 +5,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ivymux.config_store.history import ChangeOutcome
 from ivymux.config_store.records import address_of
 from ivymux.config_store.replica import Replica
 from ivymux.simulation.core_cluster import USUAL_COMMIT_S, CoreCluster, GuaranteeViolation
-from ivymux.simulation.fault_schedules import ReplicaFactory
+from ivymux.simulation.fault_schedules import ActionCallers, ReplicaFactory
 
 PRIMARY, BACKUP, WITNESS = "primary", "backup", "witness"
 ROLES = (PRIMARY, BACKUP, WITNESS)
@@ -17,6 +19,7 @@
 CATCH_UP_S = 4.0  # after which operators count a restarted machine as recovered
 DOWNTIME_S = 0.6  # of machines without power
 OBSERVATION_S = 10.0  # for which the core is observed once all machines are up
+SLOW_COMMIT_S = 0.3
 HANGING_COMMIT_S = 30.0  # duration of a commit on a hanging disk
 MAX_CHANGE_WAIT_S = 3.0  # for a change while one disk hangs
 MIN_LED_SHARE = 0.95  # of the observation, with a primary
@@ -24,10 +27,11 @@
 
 
 def start_cluster(
-    seed: int, count: int, spares: int = 0, make_replica: ReplicaFactory = Replica
+    seed: int, count: int, spares: int = 0, make_replica: ReplicaFactory = Replica, backup_count: int = 1
 ) -> CoreCluster:
     """Create a core with `start_members`; `spares` machines stay down."""
     cluster = CoreCluster(seed, count + spares, make_replica)
+    cluster.backup_count = backup_count
     start_members(cluster, count)
     return cluster
 
@@ -70,10 +74,8 @@
     if role == PRIMARY:
         return address_of(record.primary)
     if role == BACKUP:
-        return address_of(record.backup)
-    witnesses = sorted(
-        {address_of(m) for m in record.members} - {address_of(record.primary), address_of(record.backup)}
-    )
+        return address_of(record.backups()[number % len(record.backups())])
+    witnesses = sorted(address_of(m) for m in set(record.members) - set(record.copies()))
     return witnesses[number % len(witnesses)]
 
 
@@ -142,6 +144,74 @@
     return cluster
 
 
+def count_epochs(cluster: CoreCluster) -> int:
+    """Return how many epochs have come into force."""
+    return sum("is in force" in line for line in cluster.log)
+
+
+def run_until_exactly(cluster: CoreCluster, condition: Callable[[], bool], timeout_s: float = 1.0) -> None:
+    """Run until the condition is true, within 2 ms, or until the time is over."""
+    deadline = cluster.now + timeout_s
+    while not condition() and cluster.now < deadline:
+        cluster.run_for(0.002)
+
+
+def lost_disks(seed: int, count: int, losses: int, make_replica: ReplicaFactory = Replica) -> CoreCluster:
+    """Let `losses` machines lose their disks soon after a change, in some runs while all others lose power.
+
+    The core keeps one copy more than that.  In half of the runs the members or the backups are changing
+    meanwhile, and in half a disk is slow.  Raises GuaranteeViolation.
+    """
+    cluster = start_cluster(seed, count, 1, make_replica, losses)
+    rng = cluster.random
+    cluster.run_for(rng.uniform(0.0, 1.0))
+    if rng.random() < 0.5:
+        cluster.machines[rng.choice(list(cluster.machines))].disk.commit_s = SLOW_COMMIT_S
+    change = rng.choice(("none", "none", "join", "leave"))
+    if change == "join":
+        cluster.start(f"m{count}")
+        cluster.run_for(rng.uniform(0.0, 1.0))
+    elif change == "leave":  # another machine becomes a backup, maybe the one with the slow disk
+        cluster.leave(machine_with_role(cluster, BACKUP, seed))
+        cluster.run_for(rng.uniform(0.0, 0.5))
+    callers = ActionCallers(cluster, rng)
+    for _ in range(rng.choice((0, rng.randint(1, 20)))):
+        callers.step()
+        cluster.run_for(rng.uniform(0.0, 0.05))
+    moment = rng.choice(("change", "change", "epoch", "claim", "any"))
+    if moment == "change":
+        put_until_acknowledged(cluster, 2)
+    elif moment == "epoch":
+        epochs = count_epochs(cluster)
+        run_until_exactly(cluster, lambda: count_epochs(cluster) > epochs)
+    elif moment == "claim":
+        callers.step()
+        kept = len(callers.kept_answers)
+        run_until_exactly(cluster, lambda: len(callers.kept_answers) > kept)
+    machines = [ip for ip, machine in cluster.machines.items() if machine.replica is not None]
+    if not cluster.run_until_led(RECOVERY_TIMEOUT_S):
+        raise GuaranteeViolation(f"no primary before any disk is lost: {cluster.log[-6:]}")
+    holders = [machine_with_role(cluster, PRIMARY)]
+    holders += [machine_with_role(cluster, BACKUP, number) for number in range(losses)]
+    victims = rng.sample(holders if rng.random() < 0.7 else machines, losses)
+    all_lose_power = rng.random() < 0.4
+    for victim in victims:
+        cluster.wipe(victim)
+        if not all_lose_power:
+            cluster.run_for(rng.choice((0.0, rng.uniform(0.0, 0.1), rng.uniform(0.0, 1.5))))
+    if all_lose_power:
+        for machine in machines:
+            cluster.kill(machine)
+    cluster.run_for(rng.uniform(DOWNTIME_S, 2 * DOWNTIME_S))
+    for machine in machines:
+        cluster.machines[machine].disk.commit_s = USUAL_COMMIT_S
+    cluster.heal(RECOVERY_TIMEOUT_S)
+    cluster.read_all()
+    put_until_acknowledged(cluster, 3, RECOVERY_TIMEOUT_S)
+    callers.verify_kept_answers()
+    return cluster
+
+
 def two_operators(seed: int, count: int, delay: float, make_replica: ReplicaFactory = Replica) -> CoreCluster:
     """Send two texts under one version at once, and kill the primary `delay` seconds later.
 
--- a/ivymux/simulation/replacement_scenarios.py
+++ b/ivymux/simulation/replacement_scenarios.py
@@ -75,9 +75,10 @@
 class ReplacementRun:
     """One run: a member fails, spares start, the core is cut and heals."""
 
-    def __init__(self, seed: int, count: int, make_replica: ReplicaFactory) -> None:
+    def __init__(self, seed: int, count: int, make_replica: ReplicaFactory, backup_count: int) -> None:
         """`count`: the number of members before the fault.  Raises GuaranteeViolation."""
         self.cluster = SteppedElections(seed, count + SPARES, make_replica)
+        self.cluster.backup_count = backup_count
         start_members(self.cluster, count)
         self.rng = random.Random(seed)
         self.members = [f"m{n}" for n in range(count)]
@@ -173,6 +174,8 @@
         cluster.schedule(duration_s, cluster.cut_links.clear)
 
 
-def replacement_during_a_cut(seed: int, count: int, make_replica: ReplicaFactory = Replica) -> CoreCluster:
+def replacement_during_a_cut(
+    seed: int, count: int, make_replica: ReplicaFactory = Replica, backup_count: int = 1
+) -> CoreCluster:
     """Replace a member of `count` while the core is cut into two parts.  Raises GuaranteeViolation."""
-    return ReplacementRun(seed, count, make_replica).play()
+    return ReplacementRun(seed, count, make_replica, backup_count).play()
--- a/ivymux/simulation/seeded_faults.py
+++ b/ivymux/simulation/seeded_faults.py
@@ -83,7 +83,7 @@
 
     def on_write_stored(self, source: str, message: WriteStored) -> None:
         for change in self.pending:
-            change.on_backup = True
+            change.stored_by |= set(self.led_epoch.backups()) if self.led_epoch is not None else set()
         super().on_write_stored(source, message)
 
 
@@ -107,8 +107,8 @@
 
     def transfer_state(self, attempt: ElectionAttempt) -> None:
         super().transfer_state(attempt)
-        if not attempt.backup_has_state:
-            attempt.backup_has_state = True
+        if attempt.epoch_record is not None and attempt.backups_without_state():
+            attempt.stored_by |= set(attempt.epoch_record.backups())
             self.accept_own_record(attempt)
 
 
@@ -143,7 +143,7 @@
     def put_configuration(self, call: int, version: int, text: str) -> Reply | None:
         reply = super().put_configuration(call, version, text)
         for change in self.pending:
-            change.on_own_disk = True
+            change.stored_by.add(self.identity)
         return reply
 
 
@@ -228,7 +228,8 @@
 
     def on_write_stored(self, source: str, message: WriteStored) -> None:
         for change in self.pending:
-            change.on_backup = change.on_backup or self.attempt is not None
+            if self.attempt is not None and self.led_epoch is not None:
+                change.stored_by |= set(self.led_epoch.backups())
         super().on_write_stored(source, message)
 
 
@@ -260,8 +261,8 @@
 
     def on_record_stored(self, source: str, message: messages.RecordStored) -> None:
         pending = self.pending.get(message.change_number)
-        if pending is not None:
-            pending.on_backup = True
+        if pending is not None and self.replica.led_epoch is not None:
+            pending.stored_by |= set(self.replica.led_epoch.backups())
         super().on_record_stored(source, message)
 
 
--- a/tests/config_store/test_epochs.py
+++ b/tests/config_store/test_epochs.py
@@ -260,7 +260,7 @@
 
     def on_write_stored(self, source: str, message: WriteStored) -> None:
         for change in self.pending:
-            change.on_backup = True
+            change.stored_by |= set(self.led_epoch.backups()) if self.led_epoch is not None else set()
         super().on_write_stored(source, message)
 
 
--- a/tests/config_store/test_idempotency_records.py
+++ b/tests/config_store/test_idempotency_records.py
@@ -165,8 +165,8 @@
 
     def on_record_stored(self, source: str, message: RecordStored) -> None:
         pending = self.pending.get(message.change_number)
-        if pending is not None:
-            pending.on_backup = True
+        if pending is not None and self.replica.led_epoch is not None:
+            pending.stored_by |= set(self.replica.led_epoch.backups())
         super().on_record_stored(source, message)
 
 
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -78,3 +78,26 @@
             assert "could take over" not in (tmp_path / "log.txt").read_text()
 
     asyncio.run(scenario())
+
+
+# Guards against the review's case 2: two disks were kept, whatever number of losses the operators allowed.
+def test_two_disks_that_are_lost_at_once_where_two_may_be(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with local_cluster(tmp_path, core_count=5, proxy_count=0) as cluster:
+            cluster.machine_losses = 2
+            await cluster.start_all(initial_start=True)
+            await cluster.put_configuration(build_configuration(1))
+            while "5 members" not in (tmp_path / "log.txt").read_text():
+                await asyncio.sleep(0.05)
+            assert (await put(cluster, build_configuration(2)))["outcome"] == "taken"
+            primary, first, second = cluster.copy_holders()
+            for lost in (primary, first):
+                await cluster.wipe(lost)
+            assert json.loads(await cluster.read_configuration()) == build_configuration(2)
+            assert cluster.primary_ip() == second
+            for lost in (primary, first):
+                await cluster.start(lost)
+            assert (await put(cluster, build_configuration(3)))["outcome"] == "taken"
+            assert len(set(cluster.copy_holders())) == 3
+
+    asyncio.run(scenario())
