Data plane: attempts and backend connections in modules of their own

Change: attempt.py (Attempt, Result), backend_connection.py (BackendConnection, InvalidAnswer), upstream.py (pools, limits, probes); the code of each class is as it was.

--- a/ivymux/data_plane/host.py
+++ b/ivymux/data_plane/host.py
@@ -11,12 +11,13 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Protocol
 
+from ivymux.data_plane.attempt import Attempt, Result
 from ivymux.data_plane.client_departures import DepartureCounts
 from ivymux.data_plane.frontend import Answer, Call
 from ivymux.data_plane.limits import Address
 from ivymux.data_plane.refusal_log import RefusalLog
 from ivymux.data_plane.refusals import FAILED
-from ivymux.data_plane.upstream import Attempt, Result, Upstream
+from ivymux.data_plane.upstream import Upstream
 from orchidhill import interface as i
 from orchidhill.interface import Outcome, State
 
--- a/ivymux/proxy/failure_reports.py
+++ b/ivymux/proxy/failure_reports.py
@@ -7,8 +7,8 @@
 from collections import Counter, deque
 from collections.abc import Callable
 
+from ivymux.data_plane.attempt import Result
 from ivymux.data_plane.host import Host, OpenRequest
-from ivymux.data_plane.upstream import Result
 from ivymux.transport.frames import Message
 from orchidhill.interface import Outcome
 
--- a/tests/proxy/test_claimed.py
+++ b/tests/proxy/test_claimed.py
@@ -8,10 +8,10 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+from ivymux.data_plane.attempt import Result
 from ivymux.data_plane.client_departures import OnDeparture
 from ivymux.data_plane.frontend import Answer, Call
 from ivymux.data_plane.host import Host, OpenRequest
-from ivymux.data_plane.upstream import Result
 from ivymux.proxy.answer_policy import proxy_answer_policy
 from ivymux.proxy.module_settings import module_settings
 from orchidhill import interface as i
--- a/tests/simulation/faulty.py
+++ b/tests/simulation/faulty.py
@@ -11,10 +11,10 @@
 from dataclasses import replace
 from typing import Any
 
+from ivymux.data_plane.attempt import Attempt
 from ivymux.data_plane.client_departures import OnDeparture
 from ivymux.data_plane.frontend import Answer, BadRequest
 from ivymux.data_plane.host import Host
-from ivymux.data_plane.upstream import Attempt
 from ivymux.proxy.answer_policy import ProxyAnswerPolicy
 from ivymux.proxy.frontend import ProxyFrontend
 from ivymux.proxy.program import Proxy
