bench.control: lost disks and replacements during cuts

Need: the two new scenarios of the model ran by hand and in the tests alone. Change: bench.control plays them at all sizes: 1 to 3 losses on 3 to 12 members, replacements with two and three copies.

--- a/bench/control.py
+++ b/bench/control.py
@@ -1,9 +1,10 @@
-"""The core under faults with many seeds: departures, two operators, slow and hanging disks, planned exits.
+"""The core under faults with many seeds: departures, lost disks, replacements during cuts, slow disks, exits.
 
     python -m bench.control [--quick] [--runs N] [--jobs N] [--json FILE|-]
 
-Runs a model (ivymux/simulation/loss_scenarios.py) in simulated time, with cores of 3 to 5 machines and 20
-delays from 0 to 6 s.  A violated guarantee ends the run with the case that reproduces it.
+Runs a model (loss_scenarios.py and replacement_scenarios.py in ivymux/simulation) in simulated time, with
+cores of 3 to 5 machines and 20 delays from 0 to 6 s, and of up to 12 machines where disks are lost or members
+replaced.  A violated guarantee ends the run with the case that reproduces it.
 """
 
 from __future__ import annotations
@@ -20,13 +21,18 @@
     ROLES,
     departure,
     hanging_backup,
+    lost_disks,
     planned_exit,
     slow_repair,
     two_operators,
 )
+from ivymux.simulation.replacement_scenarios import replacement_during_a_cut
 
 FULL_RUNS, QUICK_RUNS = 1000, 60
 MACHINE_COUNTS = (3, 4, 5)
+# Members, and disks that may be lost at once; an epoch has one copy more.
+LOST_DISKS_SIZES = ((3, 1), (4, 1), (5, 2), (7, 2), (7, 3), (12, 2))
+REPLACEMENT_SIZES = ((3, 1), (4, 1), (5, 1), (7, 1), (12, 1), (5, 2), (7, 2), (12, 2))
 DELAYS_S = tuple(round(6.0 * n / 19, 3) for n in range(20))
 SLOW_COMMITS_S = (0.3, 2.0)  # duration of a commit on a slow disk
 EXIT_RUNS = 100
@@ -36,6 +42,10 @@
     "two operators": two_operators,
     "slow repair": slow_repair,
     "hanging backup": lambda *case: hanging_backup(*case)[0],
+    "lost disks": lost_disks,
+    "replacement during a cut": lambda seed, count, losses: replacement_during_a_cut(
+        seed, count, backup_count=losses
+    ),
 }
 
 
@@ -52,6 +62,9 @@
         generated.append(
             ("slow repair", (seed, count, SLOW_COMMITS_S[seed // len(DELAYS_S) % 2], CATCH_UP_S + delay))
         )
+    for seed in range(runs):
+        generated += [("lost disks", (seed, *size)) for size in LOST_DISKS_SIZES]
+        generated += [("replacement during a cut", (seed, *size)) for size in REPLACEMENT_SIZES]
     return generated
 
 
@@ -87,7 +100,7 @@
                 raise AssertionError(violation)
         for kind in SCENARIOS:
             case_count = sum(case[0] == kind for case in all_cases)
-            figures[f"{kind}: runs in 3, 4 and 5 machines, none broken"] = summarize([case_count], "runs")
+            figures[f"{kind}: runs in all sizes, none broken"] = summarize([case_count], "runs")
         exit_runs = QUICK_RUNS if args.quick else EXIT_RUNS
         waits_s = pool.map(
             run_hanging_backup, [(seed, MACHINE_COUNTS[seed % 3], 0.0) for seed in range(exit_runs)]
