Fix claims that are answered as an epoch with too few copies comes into force

Found by reading: where a core has too few members for the copies that machine_losses asks for, no change may be acknowledged, but claims and settings that waited were answered as such an epoch came into force. Cause: complete_pending acknowledged whatever waited at each new epoch, whose copies are equal, however many they are. Change: it does so only if the epoch has enough copies; the others wait for a later epoch. Measured: test_a_claim_and_a_change_wait_while_an_epoch_has_too_few_copies failed before (the claim was granted), passes. With one loss an epoch always has enough copies, so nothing changes on sites that allow one.

--- a/ivymux/config_store/elections.py
+++ b/ivymux/config_store/elections.py
@@ -445,9 +445,10 @@
         backups = ", ".join(f"backup {address_of(backup)}" for backup in record.backups())
         roles = f"primary {address_of(self.identity)}, {backups}"
         self.log(f"epoch {record.number} is in force: {roles}, {len(record.members)} members")
-        if not self.has_enough_copies():
+        self.rewrite_pending()
+        if self.has_enough_copies():
+            self.record_replication.complete_pending()
+        else:
             held, needed = len(record.copies()), self.backup_count + 1
             self.log(f"changes wait for more machines: {held} of {needed} hold a copy")
-        self.rewrite_pending()
-        self.record_replication.complete_pending()
         self.on_became_primary()
--- a/tests/config_store/test_copies.py
+++ b/tests/config_store/test_copies.py
@@ -98,6 +98,21 @@
     assert cluster.highest_acknowledged == 2
 
 
+# Guards against a claim that is answered as an epoch with too few copies comes into force.
+def test_a_claim_and_a_change_wait_while_an_epoch_has_too_few_copies() -> None:
+    cluster = start_cluster(4, 3, backup_count=2)
+    primary, lost = machine_with_role(cluster, PRIMARY), machine_with_role(cluster, BACKUP, 1)
+    cluster.kill(lost)
+    answers: list[Answer] = []
+    cluster.call(primary, ClaimAction("1" * 32, "tenant", "claim", "place", "body", 60.0), answers.append)
+    cluster.put(primary, 2, "two")
+    cluster.run_for(5.0)
+    assert "2 of 3 hold a copy" in cluster.log[-1]  # there is an epoch without the lost machine as a backup
+    assert cluster.read(primary) == 1 and not answers
+    cluster.start(lost)
+    assert cluster.run_until_acknowledged(2, 5.0) and answers
+
+
 # --- seeded faults ------------------------------------------------------------------------------------------
 
 
