--- a/review/lib2/stack.py
+++ b/review/lib2/stack.py
@@ -2,7 +2,8 @@
 
 Each machine has an address of its own and a port range of its own.  A process reaches a port of another
 machine at that machine's address and at the port that its own settings name, where a relay of this module
-listens: so each link between two machines can be cut.  The programs are started with the commands of the deploy file.
+listens: so each link between two machines can be cut.  The programs are started with the commands of the
+deploy file.
 """
 
 from __future__ import annotations
@@ -96,9 +97,10 @@
 
     async def start(self) -> None:
         command = shlex.split(DEPLOY["roles"][self.role]["run"])
-        environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
-        } | {"IVYMUX_NODE_FILE": str(self.machine.settings_path), "PYTHONPATH": str(ROOT / "target/deps")}
+        environment = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ} | {
+            "IVYMUX_NODE_FILE": str(self.machine.settings_path),
+            "PYTHONPATH": str(ROOT / "target/deps"),
+        }
         environment["PYTHONDONTWRITEBYTECODE"] = "1"
         log = (self.machine.folder / f"{self.role}.log").open("ab")
         self.process = await asyncio.create_subprocess_exec(
@@ -212,8 +214,10 @@
                 for link in links:
                     link.is_cut = is_cut
 
-    async def put_configuration(self, document: dict, core: Machine | None = None, limit_s: float = 20.0) -> bool:
-        """Send a configuration as an operator does, to one door after another; return whether it was taken."""
+    async def put_configuration(
+        self, document: dict, core: Machine | None = None, limit_s: float = 20.0
+    ) -> bool:
+        """Send a configuration as an operator does, to one door after another; return whether it is taken."""
         body, until, turn = json.dumps(document).encode(), time.monotonic() + limit_s, 0
         doors = [core] if core is not None else self.cores
         while time.monotonic() < until:
@@ -319,7 +323,9 @@
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
                 method, target, _ = head[0].split(" ")
-                fields = {k.strip().lower(): v.strip() for k, _, v in (line.partition(":") for line in head[1:])}
+                fields = {
+                    k.strip().lower(): v.strip() for k, _, v in (line.partition(":") for line in head[1:])
+                }
                 body = await reader.readexactly(int(fields.get("content-length", 0)))
                 request = {"id": fields.get("try-id", ""), "method": method, "target": target, "body": body,
                            "fields": fields}  # fmt: skip
@@ -353,6 +359,16 @@
             writer.transport.abort()
 
 
+def spawn(work) -> None:
+    """Run a coroutine as a task that is kept until it is done."""
+    task = asyncio.ensure_future(work)
+    TASKS.add(task)
+    task.add_done_callback(TASKS.discard)
+
+
+TASKS: set = set()
+
+
 def free_range() -> tuple[int, int]:
     """Return a network number and a first port of which the ports that are needed are free."""
     for _ in range(200):
@@ -375,7 +391,9 @@
             reader, writer = await asyncio.open_connection(ip, port)
             try:
                 head = f"{method} {path} HTTP/1.1\r\nHost: {ip}\r\nContent-Type: application/json\r\n"
-                writer.write(f"{head}Content-Length: {len(body)}\r\nConnection: close\r\n\r\n".encode() + body)
+                writer.write(
+                    f"{head}Content-Length: {len(body)}\r\nConnection: close\r\n\r\n".encode() + body
+                )
                 return await read_answer(reader)
             finally:
                 writer.close()
@@ -392,7 +410,9 @@
     return (status, body, fields) if with_fields else (status, body)
 
 
-def request_bytes(method: str, path: str, try_id: str, left_ms: int, body: bytes = b"", extra: str = "") -> bytes:
+def request_bytes(
+    method: str, path: str, try_id: str, left_ms: int, body: bytes = b"", extra: str = ""
+) -> bytes:
     """Encode a client's request."""
     length = f"Content-Length: {len(body)}\r\n" if body or method != "GET" else ""
     return (
@@ -401,7 +421,9 @@
     ).encode() + body
 
 
-async def client_request(proxy: Machine, method: str, path: str, try_id: str, left_ms: int, body=b"", extra=""):
+async def client_request(
+    proxy: Machine, method: str, path: str, try_id: str, left_ms: int, body=b"", extra=""
+):
     """Send a request on a new connection; return status, body and fields, None if the connection ended."""
     try:
         async with asyncio.timeout(left_ms / 1000 + 1):
@@ -438,7 +460,7 @@
 
 
 def run_case(main, folder: Path) -> None:
-    """Run a case's coroutine: exit with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    """Run a case: exit with 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {trouble}")
@@ -456,7 +478,9 @@
                 await one.stop()
 
     code = asyncio.run(guarded())
-    record(f"exit {code}: " + {0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code])
+    record(
+        f"exit {code}: " + {0: "the rule held", 1: "the rule was broken", 2: "the case could not run"}[code]
+    )
     print((folder / "record.txt").read_text().splitlines()[-1])
     sys.exit(code)
 
