--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,10 +1,8 @@
-"""LOST: a proxy that is stopped ends while clients still read their answers, long before `grace` is over."""
+"""Starved: backends that crash and are back at their addresses one second later get no requests any more."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
-import socket
 import sys
 import time
 from pathlib import Path
@@ -13,88 +11,78 @@
 sys.path.insert(0, str(FOLDER.parent / "lib2"))
 
 from stack import (  # noqa: E402
-    Backend, CannotRun, Stack, configuration, request_bytes, route, run_case,
+    Backend,
+    CannotRun,
+    Stack,
+    client_request,
+    configuration,
+    route,
+    run_case,
+    spawn,
 )  # fmt: skip
 
-BODY = bytes(range(256)) * (96 << 10)  # 24 MiB
-READ_BYTES_PER_S = 4.8e6  # a line of about 40 Mbit/s: the answer takes it 5.2 s
-DEADLINE_MS = 10_000  # of the route and of the client
-GRACE_S = 6.0
-CLIENTS = 2
-
-
-async def read_slowly(proxy, try_id: str, record) -> tuple[float, int, int]:
-    """Send a request and read its answer as a slow line does; return when it ended, bytes read, bytes due."""
-    loop = asyncio.get_running_loop()
-    connection = socket.socket()
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
-    connection.setblocking(False)
-    try:
-        await loop.sock_connect(connection, (proxy.ip, proxy.front))
-        await loop.sock_sendall(connection, request_bytes("GET", "/suggest/" + try_id, try_id, DEADLINE_MS))
-        began, data, due = time.monotonic(), b"", 0
-        record(f"client: {try_id} sent to {proxy.name}")
-        read, head = 0, b""
-        while not due or read < due:
-            try:
-                data = await loop.sock_recv(connection, 32 << 10)
-            except OSError as error:
-                record(f"client: {try_id}: {type(error).__name__}")
-                break
-            if not data:
-                break
-            read += len(data)
-            if not due:
-                head += data
-                if (end := head.find(b"\r\n\r\n")) >= 0:
-                    lines = head[:end].decode("latin-1").lower().split("\r\n")
-                    length = next(int(line.split(":")[1]) for line in lines if line.startswith("content-length:"))
-                    due = end + 4 + length
-                    record(f"client: {try_id}: {lines[0]}, {length} bytes announced")
-            await asyncio.sleep(max(0.0, began + read / READ_BYTES_PER_S - time.monotonic()))
-        return time.monotonic() - began, read, due
-    finally:
-        connection.close()
+DOWN_S = 1.0  # for which the backends are down
+RECOVERY_S = 15.0  # `recovery`: what is sent later counts here
+WATCHED_S = 45.0  # from the moment at which the backends are back
+KINDS = {"sign": ("POST", "approvals-desk"), "read": ("GET", "minutes-archive")}
 
 
 async def main(record, trouble, stacks) -> bool:
     stack = Stack(cores=3, proxies=2, record=record)
     stacks.append(stack)
     await stack.start()
-    routes = [route("suggest", "/suggest/", "match-svc", "idempotent", DEADLINE_MS)]
-    if not await stack.put_configuration(configuration(1, routes, ["match-svc"])):
+    routes = [
+        route("sign", "/sign/", "approvals-desk", "non_idempotent", 1500),
+        route("read", "/read/", "minutes-archive", "idempotent", 1200),
+    ]
+    if not await stack.put_configuration(configuration(1, routes, ["approvals-desk", "minutes-archive"])):
         raise CannotRun("no configuration")
     ip = stack.cores[0].ip.rsplit(".", 2)[0] + ".3.1"
-    backends = [Backend(stack, "match-svc", f"i-{n}", ip) for n in range(4)]
-    for backend in backends:
-        backend.answer = lambda request, backend=backend: backend.encode(200, request["id"], BODY)
+    desks = [Backend(stack, "approvals-desk", f"i-desk{n}-1", ip) for n in range(3)]
+    others = [Backend(stack, "minutes-archive", f"i-archive{n}", ip) for n in range(3)]
+    for backend in (*desks, *others):
         await backend.start()
     await stack.until_ready()
-    await asyncio.sleep(4.0)  # calm for longer than `contact`
-    proxy = stack.proxies[0]
-    reads = [asyncio.ensure_future(read_slowly(proxy, f"r{n}", record)) for n in range(CLIENTS)]
-    await asyncio.sleep(1.0)
-    process = proxy.processes["proxy"]
+    await asyncio.sleep(4.0)
+    results: list[tuple[float, str, int | None]] = []  # when sent, kind, status
+
+    async def one(kind: str, number: int) -> None:
+        method, _ = KINDS[kind]
+        sent, name = time.monotonic(), f"{kind}{number:05d}"
+        got = await client_request(stack.proxies[number % 2], method, f"/{kind}/a", name, 1200, b"")
+        results.append((sent, kind, got[0] if got else None))
+        record(f"client: {name}: {got[0] if got else None}")
+
+    async def clients() -> None:
+        number = 0
+        while True:
+            number += 1
+            for kind in KINDS:
+                spawn(one(kind, number))
+            await asyncio.sleep(0.05)
+
+    traffic = asyncio.ensure_future(clients())
+    await asyncio.sleep(4.0)
     if trouble:
-        record(f"platform: SIGTERM to {proxy.name}")
-        process.send(signal.SIGTERM)
-        stopped_at = time.monotonic()
-        ending = asyncio.ensure_future(process.process.wait())
-        ending.add_done_callback(
-            lambda _: record(f"platform: {proxy.name} has ended {time.monotonic() - stopped_at:.2f} s after it")
-        )
-        done, _ = await asyncio.wait({ending}, timeout=GRACE_S)
-        if not done:
-            record(f"platform: SIGKILL to {proxy.name}, `grace` is over")
-            process.send(signal.SIGKILL)
-    lost = 0
-    for n, (took, read, due) in enumerate(await asyncio.gather(*reads)):
-        is_whole = due > 0 and read >= due
-        within_grace = took < 1.0 + GRACE_S and took * 1000 < DEADLINE_MS
-        lost += not is_whole and within_grace
-        record(f"client: r{n}: {'whole' if is_whole else 'CUT'}: {read} of {due} bytes after {took:.2f} s")
-    record(f"{lost} of {CLIENTS} answers were cut before `grace` and before the deadline")
-    return lost > 0
+        for backend in desks:
+            backend.end("crashes")
+        await asyncio.sleep(DOWN_S)
+        for backend in desks:
+            name = backend.id.rsplit("-", 1)[0] + "-2"  # every start of a backend is a new life with a new id
+            await Backend(stack, "approvals-desk", name, ip, backend.port).start()
+    back_at = time.monotonic()
+    await asyncio.sleep(WATCHED_S)
+    traffic.cancel()
+    await asyncio.sleep(1.5)
+    later = [(kind, status) for sent, kind, status in results if sent > back_at + RECOVERY_S]
+    served = {
+        kind: sum(k == kind and s == 200 for k, s in later) / max(1, sum(k == kind for k, _ in later))
+        for kind in KINDS
+    }
+    share = sum(s == 200 for _, s in later) / max(1, len(later))
+    record(f"{len(later)} requests were sent later than {RECOVERY_S:g} s after the backends were back")
+    record(f"of these were served: {served}; of all: {share:.2f}")
+    return served["sign"] < share / 4
 
 
 run_case(main, FOLDER)
