Config store: a machine cut off from every majority refuses at once

Cause: a call was repeated until its time was over, also where no election could succeed. Why it works: a machine that reaches no majority of the memberships that decide can neither be nor find a primary.

--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -23,6 +23,7 @@
 )
 from ivymux.config_store.changes import NO_VERSION
 from ivymux.config_store.durable_store import FOLDER, DurableStore, DurableStoreError, sync_folder
+from ivymux.config_store.isolation import IsolationDetector
 from ivymux.config_store.messages import PROTOCOL_VERSION, Greeting, ReplicaMessage
 from ivymux.config_store.records import ReplicatedSetting, address_of
 from ivymux.config_store.replica import Replica
@@ -79,6 +80,7 @@
         self.published: Publish | None = None  # the configuration in force
         self.cores: list[str] = []  # addresses, as last sent to registries
         self.invalid_messages = 0
+        self.isolation = IsolationDetector()
         self.incompatible_peers: set[str] = set()  # addresses that use another version of the protocol
         self.is_ending = False
         self.tasks: set[asyncio.Task[None]] = set()
@@ -193,6 +195,7 @@
         epoch = self.replica.known_epoch
         addresses = {address_of(member) for member in epoch.voters()} if epoch is not None else set()
         connected = {address for address, peer in self.peers.items() if peer.is_connected}
+        self.isolation.update(time.monotonic(), epoch, self.replica.identity, connected)
         addresses |= connected | {self.settings.ip}
         cores = sorted(addresses)
         if cores != self.cores:
@@ -304,12 +307,18 @@
         return None
 
     async def on_call(self, connection: Connection, message: Message) -> None:
-        """Answer a call by the primary, here or on another machine, within the call's timeout."""
+        """Answer a call by the primary, here or on another machine, within the call's timeout.
+
+        While an election may succeed, the call waits for its result; a machine that is cut off from every
+        majority refuses at once, so that the caller goes on to another machine.
+        """
         deadline = time.monotonic() + float(message.get("w") or CALL_TIMEOUT_S)
         while time.monotonic() < deadline:
             if (answer := await self.try_call(message, deadline)) is not None:
                 connection.answer(message, **answer)
                 return
+            if self.isolation.is_isolated(time.monotonic()):
+                break
             await asyncio.sleep(CALL_RETRY_INTERVAL_S)
         connection.answer(message, ok=False)
 
