Elections: a silent machine is not asked to accept the epoch that leaves it out

Cause: the request for acceptance reached the frozen machine's socket; it accepted as it woke behind the cut, and its half then needs a majority of the new members too. Why it works: the machine was left out because it was silent, so its vote is not needed; it is asked once it is heard.

--- a/ivymux/config_store/actions.py
+++ b/ivymux/config_store/actions.py
@@ -33,10 +33,11 @@
 
 @dataclass(slots=True)
 class Send:
-    """Send a message to the machine at an address, or to EVERYONE."""
+    """Send a message to the machine at an address, or to EVERYONE but the machines at some addresses."""
 
     to: str
     message: ReplicaMessage
+    except_for: frozenset[str] = frozenset()  # addresses; with EVERYONE only
 
 
 @dataclass(slots=True)
--- a/ivymux/config_store/elections.py
+++ b/ivymux/config_store/elections.py
@@ -247,9 +247,11 @@
 
     def on_promise(self, source: str, message: Promise) -> None:
         attempt = self.attempt
-        if attempt is None or message.epoch != attempt.number or attempt.epoch_record is not None:
+        if attempt is None or message.epoch != attempt.number:
             return
         self.last_received_at[message.sender] = self.now
+        if attempt.epoch_record is not None:
+            return
         if message.sender not in attempt.promises:
             attempt.last_progress_at = self.now
         attempt.promises[message.sender] = message.epoch_record
@@ -392,10 +394,26 @@
         self.check_acceptance(attempt)
 
     def request_acceptance(self, attempt: ElectionAttempt) -> None:
-        """Ask all core machines to store the new epoch's record."""
+        """Ask all core machines to store the new epoch's record, but for silent ones that it leaves out."""
         assert attempt.epoch_record is not None
         attempt.next_request_at = self.now + RETRY_INTERVAL_S / 2
-        self.broadcast(AcceptRequest(self.identity, attempt.epoch_record))
+        silent = self.silent_former_members(attempt, attempt.epoch_record)
+        self.broadcast(AcceptRequest(self.identity, attempt.epoch_record), except_for=silent)
+
+    def silent_former_members(self, attempt: ElectionAttempt, record: EpochRecord) -> frozenset[str]:
+        """Return the addresses of the machines that the new epoch leaves out and that send nothing.
+
+        A frozen machine would read the request when it wakes.  If a cut keeps it from this machine by then,
+        its acceptance helps nobody, and it can no longer elect another primary with the members on its side.
+        """
+        voters = {member for membership in attempt.memberships for member in membership.members}
+        left_out = voters - set(record.members) - set(attempt.promises)
+        silent = {
+            address_of(member)
+            for member in left_out
+            if self.now - self.last_received_at.get(member, NEVER) > BACKUP_TIMEOUT_S
+        }
+        return frozenset(silent) - {address_of(member) for member in record.members}
 
     def on_accept_request(self, source: str, message: AcceptRequest) -> None:
         """Store a candidate's epoch record, unless a promise forbids it."""
--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -286,8 +286,9 @@
             return
         message = messages.encode(action.message)
         if action.to == EVERYONE:
-            for peer in self.peers.values():
-                peer.send(message)
+            for address, peer in self.peers.items():
+                if address not in action.except_for:
+                    peer.send(message)
             return
         self.connect_to(action.to)
         known = self.peers.get(action.to)
--- a/ivymux/config_store/replica_state.py
+++ b/ivymux/config_store/replica_state.py
@@ -93,9 +93,12 @@
         """Send a message to the machine at an address."""
         self.actions.append(Send(to, message))
 
-    def broadcast(self, message: ReplicaMessage) -> None:
-        """Send a message to all known core machines, whether they are members or not."""
-        self.send(EVERYONE, message)
+    def broadcast(self, message: ReplicaMessage, except_for: frozenset[str] = frozenset()) -> None:
+        """Send a message to all known core machines, whether they are members or not.
+
+        `except_for`: addresses to which it is not sent.
+        """
+        self.actions.append(Send(EVERYONE, message, except_for))
 
     def log(self, text: str) -> None:
         """Log a line."""
--- a/ivymux/simulation/core_cluster.py
+++ b/ivymux/simulation/core_cluster.py
@@ -305,7 +305,8 @@
     def execute(self, machine: Machine, action: Action) -> None:
         """Execute one action at once."""
         if isinstance(action, Send):
-            targets = [m for m in self.machines if m != machine.ip] if action.to == EVERYONE else [action.to]
+            others = [m for m in self.machines if m != machine.ip and m not in action.except_for]
+            targets = others if action.to == EVERYONE else [action.to]
             for target in targets:
                 self.send(machine.ip, target, action.message)
         elif isinstance(action, Complete):
--- a/tests/config_store/test_replacements.py
+++ b/tests/config_store/test_replacements.py
@@ -108,6 +108,43 @@
     play_halves_of_three(seed)
 
 
+class CutAsTheBackupIsAsked(CoreCluster):
+    """Cuts the core as the new record is on its way to the backup; the frozen member has it in its queue."""
+
+    near: frozenset[str] = frozenset()
+
+    def send(self, source: str, target: str, message: ReplicaMessage) -> None:
+        if not isinstance(message, AcceptRequest) or source not in self.near or target in self.near:
+            super().send(source, target, message)
+        elif self.machines[target].deferred is not None:
+            self.deliver(source, target, self.machines[target].incarnation, message)  # read when it wakes
+        else:
+            self.schedule(0.0, self.cut)
+
+    def cut(self) -> None:
+        for one in self.near:
+            for other in set(self.machines) - self.near:
+                self.cut_links |= {(one, other), (other, one)}
+
+
+# Guards against the review's case 1 in its other order: the frozen member read the request of the primary
+# that replaced it when it woke behind the cut, and then neither half could elect a primary.
+@pytest.mark.parametrize("seed", range(5))
+def test_a_half_with_a_member_that_was_frozen_elects_a_primary_during_the_cut(seed: int) -> None:
+    cluster = CutAsTheBackupIsAsked(seed, 4)
+    start_members(cluster, 3)
+    primary, witness = cluster.primaries()[0], machine_with_role(cluster, WITNESS)
+    cluster.freeze(witness)
+    cluster.run_for(1.1)
+    cluster.near = frozenset((primary, "m3"))
+    cluster.wipe("m3")
+    cluster.start("m3")
+    assert cluster.run_until(lambda: bool(cluster.cut_links), 2.0)
+    cluster.thaw(witness)
+    far = set(cluster.machines) - cluster.near
+    assert cluster.run_until(lambda: bool(far & set(cluster.primaries())), 3.0)
+
+
 def test_the_runs_detect_an_election_by_the_newest_members_alone(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(elections, "deciding_memberships", newest_members_only)
     with pytest.raises(GuaranteeViolation):
