Config store: repairs are cut by bytes, and no message exceeds the transport's bound

Cause: a repair message took ranges of keys until it had 400 records, whatever their length; above 8 MiB it was never sent, and logged as an invalid message of the peer. A message above the bound is a typed error, counted and logged with kind and length. Settings in force are cut too; configurations above 7 MiB encoded are refused with 400. The model's growing messages are checked for their length. Why it works: every message is below the bound by construction, and each comparison leaves less that differs.

--- a/ivymux/config_store/idempotency.py
+++ b/ivymux/config_store/idempotency.py
@@ -17,6 +17,7 @@
 from hashlib import blake2b
 from typing import Any, Protocol
 
+import msgspec
 from msgspec.structs import replace
 
 from ivymux.config_store.actions import Action, Complete, Persist, PublishSetting, Reply
@@ -33,6 +34,7 @@
     SettingsRequest,
     StateStored,
 )
+from ivymux.config_store.record_repair import RepairItem, plan_repair, resumption_key
 from ivymux.config_store.records import ConfigurationState, EpochRecord, ReplicatedSetting, address_of
 from ivymux.config_store.timing import RETRY_INTERVAL_S
 from ivymux.idempotency import CONVERSATIONS
@@ -48,11 +50,12 @@
     RecordLimits,
     RecordStore,
     Verdict,
+    range_interval,
 )
+from ivymux.transport.batching import split_by_bytes
 
 COMPARE_INTERVAL_S = 5.0  # between comparisons of the copies
 SWEEP_INTERVAL_S = 1.0  # between removals of expired records
-MAX_RECORDS_IN_REPAIR = 400  # in one message; a message ends with the range that reaches this
 CHANGE_NUMBERS_PER_EPOCH = 1 << 32  # so that the numbers of a later epoch are higher
 PENDING_RETRY_AFTER_S = 0.1  # when to repeat a claim whose record is still being written
 MAX_SETTING_CHARS = 32 << 10
@@ -65,6 +68,7 @@
 
     number: int
     epoch_record: EpochRecord | None
+    last_progress_at: float
 
 
 class ReplicaView(Protocol):
@@ -139,6 +143,7 @@
     next_sweep_at: float = 0.0
     settings: dict[str, ReplicatedSetting] = field(default_factory=dict)  # in force, by name
     limits: RecordLimits = field(default_factory=RecordLimits)
+    compared_digests: dict[str, tuple[int, ...]] = field(default_factory=dict)  # last received, by backup
 
     # --- calls -----------------------------------------------------------------------------------------
 
@@ -345,14 +350,19 @@
         backup = address_of(message.sender)
         if len(message.digests) != len(self.store.digests):
             return
-        ranges: list[tuple[int, tuple[IdempotencyRecord, ...]]] = []
+        self.note_repair_progress(message)
         differing = self.store.differing_ranges([*message.digests])
-        for number, records in self.store.records_in_ranges(differing).items():
-            ranges.append((number, tuple(records)))
-            if sum(len(in_range) for _, in_range in ranges) >= MAX_RECORDS_IN_REPAIR:
-                self.send_repair(backup, ranges, last=False)
-                ranges = []
-        self.send_repair(backup, ranges, last=True)
+        batches = plan_repair(self.store.records_in_ranges(differing), message.resume_after) or [[]]
+        for batch in batches:
+            self.send_repair(backup, batch, last=batch is batches[-1])
+
+    def note_repair_progress(self, message: RecordRangeDigests) -> None:
+        """Keep an attempt going whose backup has come closer to this copy since its last comparison."""
+        self.replica.last_received_at[message.sender] = self.replica.now
+        attempt = self.replica.attempt
+        if attempt is not None and self.compared_digests.get(message.sender) != message.digests:
+            attempt.last_progress_at = self.replica.now
+        self.compared_digests[message.sender] = message.digests
 
     def backups_to_repair(self, epoch: int) -> tuple[str, ...]:
         """Return the backups of an epoch, before the epoch is in force or while it is; none if neither."""
@@ -363,13 +373,16 @@
             return ()
         return led_epoch.backups() if not self.pending else ()
 
-    def send_repair(
-        self, backup: str, ranges: list[tuple[int, tuple[IdempotencyRecord, ...]]], last: bool
-    ) -> None:
-        """Send ranges of this copy to a backup at an address; the last message carries the store's digest."""
-        epoch = self.epoch_to_replicate().number
-        digest = self.store.root_digest() if last else None
-        repair = RecordRepair(self.replica.identity, epoch, self.last_change_number, tuple(ranges), digest)
+    def send_repair(self, backup: str, batch: list[RepairItem], last: bool) -> None:
+        """Send a part of this copy to a backup at an address; the last message carries the store's digest."""
+        repair = RecordRepair(
+            self.replica.identity,
+            self.epoch_to_replicate().number,
+            self.last_change_number,
+            tuple((i.whole_range, i.interval.records) for i in batch if i.whole_range is not None),
+            self.store.root_digest() if last else None,
+            tuple(i.interval for i in batch if i.whole_range is None),
+        )
         self.replica.send(backup, repair)
 
     def complete_pending(self) -> None:
@@ -414,14 +427,16 @@
         if self.is_backup_of(message.sender, message.epoch) and message.digest != self.store.root_digest():
             self.send_digests(source, message.epoch)
 
-    def send_digests(self, primary: str, epoch: int) -> None:
-        """Send the primary the digests of this copy, so that it repairs the ranges that differ."""
-        self.replica.send(
-            primary, RecordRangeDigests(self.replica.identity, epoch, tuple(self.store.digests))
-        )
+    def send_digests(self, primary: str, epoch: int, resume_after: str = "") -> None:
+        """Send the primary the digests of this copy, so that it repairs the ranges that differ.
+
+        `resume_after`: see RecordRangeDigests.
+        """
+        digests = tuple(self.store.digests)
+        self.replica.send(primary, RecordRangeDigests(self.replica.identity, epoch, digests, resume_after))
 
     def on_record_repair(self, source: str, message: RecordRepair) -> None:
-        """Apply ranges of the primary's copy.
+        """Apply a part of the primary's copy; if more differs, compare again for the next part.
 
         A repair that was sent before changes that this copy already holds is ignored: it would undo them.
         """
@@ -429,15 +444,18 @@
             return
         if message.last_change_number < self.last_change_number:
             return
-        changes: list[tuple[str, IdempotencyRecord | None]] = []
-        for number, records in message.ranges:
-            if not 0 <= number < len(self.store.digests):
-                raise IdempotencyRecordError("the repair names a range of keys that does not exist")
-            changes += self.store.repair_range(number, list(records), self.replica.now)
+        if any(not 0 <= number < len(self.store.digests) for number, _ in message.ranges):
+            raise IdempotencyRecordError("the repair names a range of keys that does not exist")
+        whole_ranges = [range_interval(number, records) for number, records in message.ranges]
+        changes = self.store.repair([*whole_ranges, *message.intervals], self.replica.now)
         if changes:
             self.replica.actions.append(Persist(idempotency_records=tuple(changes)))
-        if message.digest is not None and message.digest == self.store.root_digest():
+        if message.digest is None:
+            return
+        if message.digest == self.store.root_digest():
             self.replica.send(source, StateStored(self.replica.identity, message.epoch))
+        elif changes or resumption_key(message.intervals):
+            self.send_digests(source, message.epoch, resumption_key(message.intervals))
 
     # --- replicated settings ------------------------------------------------------------------------------
 
@@ -450,11 +468,11 @@
         stored = [
             record for record in self.store.settings.values() if record.change_number not in self.pending
         ]
-        settings = tuple(setting_of(record) for record in stored)
+        settings = [setting_of(record) for record in stored]
         for setting in settings:
             self.update_setting(setting)
-        if settings:
-            self.replica.broadcast(SettingsInForce(self.replica.identity, settings))
+        for batch in split_by_bytes(settings, lambda setting: len(msgspec.json.encode(setting))):
+            self.replica.broadcast(SettingsInForce(self.replica.identity, tuple(batch)))
 
     def on_settings_in_force(self, source: str, message: SettingsInForce) -> None:
         for setting in message.settings:
--- a/ivymux/config_store/messages.py
+++ b/ivymux/config_store/messages.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ivymux.config_store.records import EpochRecord, ReplicatedSetting
-from ivymux.idempotency.record_store import IdempotencyRecord
+from ivymux.idempotency.record_store import IdempotencyRecord, KeyInterval
 
 PROTOCOL_VERSION = 2
 TAG = "kind"
@@ -214,18 +214,20 @@
 
     epoch: int
     digests: tuple[int, ...]
+    resume_after: str = ""  # the key up to which a range that is repaired in several parts is equal by now
 
 
 class RecordRepair(ReplicaMessage, frozen=True, tag="book_repair"):
-    """Ranges of the primary's record store.
+    """Ranges of the primary's record store, and intervals of ranges that are too large for one message.
 
-    A repair may take several messages; the last of them carries the digest of the whole store.
+    A comparison may be followed by several messages; the last of them carries the digest of the whole store.
     """
 
     epoch: int
     last_change_number: int = msgspec.field(name="last_number")  # of the newest change in the store
     ranges: tuple[tuple[int, tuple[IdempotencyRecord, ...]], ...]
     digest: int | None = None
+    intervals: tuple[KeyInterval, ...] = ()
 
 
 class SettingsRequest(ReplicaMessage, frozen=True, tag="notes_request"):
--- a/ivymux/idempotency/record_store.py
+++ b/ivymux/idempotency/record_store.py
@@ -95,6 +95,32 @@
         return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
 
 
+class KeyInterval(msgspec.Struct, frozen=True, array_like=True):
+    """All records of one copy from key `first` to key `last`, both included; they lie in one range of keys.
+
+    Raises IdempotencyRecordError for bounds or records that do not fit together.
+    """
+
+    first: str
+    last: str
+    records: tuple[IdempotencyRecord, ...]
+
+    def __post_init__(self) -> None:
+        if any(len(key) != KEY_DIGITS for key in (self.first, self.last)) or self.first > self.last:
+            raise IdempotencyRecordError("interval of keys with bounds that do not fit together")
+        if key_range(self.first) != key_range(self.last):
+            raise IdempotencyRecordError("interval of keys over more than one range")
+        if any(not self.first <= record.key <= self.last for record in self.records):
+            raise IdempotencyRecordError("interval of keys with a record outside of it")
+
+
+def range_interval(number: int, records: Iterable[IdempotencyRecord] = ()) -> KeyInterval:
+    """Return a whole range of keys as an interval."""
+    prefix = f"{number:02x}"
+    digits = KEY_DIGITS - len(prefix)
+    return KeyInterval(prefix + "0" * digits, prefix + "f" * digits, tuple(records))
+
+
 @dataclass(frozen=True, slots=True)
 class RecordLimits:
     """How long records are kept, and how many and how large they may be."""
@@ -174,15 +200,29 @@
                 found[number].append(record)
         return found
 
-    def repair_range(
-        self, number: int, records: list[IdempotencyRecord], now: float
+    def repair(
+        self, intervals: Iterable[KeyInterval], now: float
     ) -> list[tuple[str, IdempotencyRecord | None]]:
-        """Make one range equal to the primary's copy; return the changes, None for a removed record."""
-        wanted = {record.key: record for record in records}
+        """Make intervals equal to the primary's copy; return the changes, None for a removed record."""
+        intervals = tuple(intervals)
+        held = self.records_in_ranges(key_range(interval.first) for interval in intervals)
         changes: list[tuple[str, IdempotencyRecord | None]] = []
-        for key in [k for k in self.records if key_range(k) == number and k not in wanted]:
-            self.remove(key)
-            changes.append((key, None))
+        for interval in intervals:
+            in_range = held[key_range(interval.first)]
+            keys = [record.key for record in in_range if interval.first <= record.key <= interval.last]
+            changes += self.repair_interval(interval, keys, now)
+        return changes
+
+    def repair_interval(
+        self, interval: KeyInterval, held_keys: Iterable[str], now: float
+    ) -> list[tuple[str, IdempotencyRecord | None]]:
+        """Make one interval, in which this copy holds `held_keys`, equal to the primary's copy."""
+        wanted = {record.key: record for record in interval.records}
+        changes: list[tuple[str, IdempotencyRecord | None]] = []
+        for key in held_keys:
+            if key not in wanted:
+                self.remove(key)
+                changes.append((key, None))
         for key, record in wanted.items():
             if self.records.get(key) != record:
                 self.remove(key)
--- a/ivymux/proxy/metrics.py
+++ b/ivymux/proxy/metrics.py
@@ -5,6 +5,8 @@
 from collections.abc import Mapping
 from typing import TYPE_CHECKING
 
+from ivymux.transport.connection import oversized_messages
+
 if TYPE_CHECKING:
     from ivymux.proxy.program import Proxy
 
@@ -23,6 +25,7 @@
         "requests_kept": len(host.requests),
         "clients": len(proxy.server.clients),
         "backend_connections": host.upstream.connection_count,
+        "oversized_messages_total": oversized_messages.count,
         "interrupted_writes_total": host.upstream.interrupted_writes,
         "further_tries_spared_total": proxy.gateway.denied_retries,
         "departed_requests_total": departures.requests,
--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -39,7 +39,7 @@
     Listener,
     TransportError,
 )
-from ivymux.transport.frames import Message, encode_frame
+from ivymux.transport.frames import MAX_FRAME_BYTES, Message, encode_frame
 from ivymux.transport.http_calls import (
     JSON,
     HttpCallDispatcher,
@@ -51,6 +51,13 @@
 
 MAX_SILENT_HEARTBEATS = 2.3  # heartbeat periods without a call after which a backend counts as lost
 EXPIRY_INTERVAL_S = 0.25
+# Of a configuration within a message, where a quote or a line break takes two bytes; the rest of the largest
+# frame is for the history that is sent with it.
+MAX_STORED_TEXT_BYTES = MAX_FRAME_BYTES - (1 << 20)
+TEXT_TOO_LONG = (
+    "the configuration takes {} bytes in a message between machines, {} at most; quotes and line breaks"
+    " count twice: send it without indentation, or with fewer routes"
+)
 STORE_CALL_TIMEOUT_S = 0.95  # operators send a call to another core machine after 1 s without an answer
 CONFIG_READ_TIMEOUT_S = 0.9
 APPLY_TIMEOUT_S = 0.3  # within STORE_CALL_TIMEOUT_S, for the proxies to put a configuration in force
@@ -112,6 +119,11 @@
         return [self.id, self.address, self.port, self.zone, round(now - self.joined_at, 3)]
 
 
+def subscribe(connection: Connection) -> None:
+    """Ask a config store for its updates."""
+    connection.send({"k": kinds.SUBSCRIPTION})
+
+
 class Registry(TrialEndpoints):
     """The registry of one core machine."""
 
@@ -130,7 +142,7 @@
         self.config_store = Connector(
             Address(settings.ip, settings.config_store_port),
             self.on_config_store_message,
-            on_connect=lambda connection: connection.send({"k": kinds.SUBSCRIPTION}),
+            on_connect=subscribe,
         )
         self.config_version = -1
         self.config_text = ""
@@ -450,6 +462,8 @@
             return error_answer(400, str(error))
         except UnicodeDecodeError:
             return error_answer(400, "the configuration is not UTF-8")
+        if (stored_bytes := len(msgspec.json.encode(text))) > MAX_STORED_TEXT_BYTES:
+            return error_answer(400, TEXT_TOO_LONG.format(stored_bytes, MAX_STORED_TEXT_BYTES))
         began = time.monotonic()
         reply = await self.store(PutConfiguration(plan.version, text))
         if isinstance(reply, Answer):
--- a/ivymux/simulation/core_cluster.py
+++ b/ivymux/simulation/core_cluster.py
@@ -12,6 +12,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
+
 from ivymux.config_store.actions import (
     EVERYONE,
     Action,
@@ -24,13 +26,23 @@
 )
 from ivymux.config_store.calls import Call, PutConfiguration
 from ivymux.config_store.history import ChangeOutcome, digest_of
-from ivymux.config_store.messages import ReplicaMessage
+from ivymux.config_store.messages import (
+    RecordRepair,
+    RecordsExpired,
+    ReplicaMessage,
+    SettingsInForce,
+    StateTransfer,
+)
 from ivymux.config_store.records import ConfigurationState, DurableState, EpochRecord
 from ivymux.config_store.replica import Replica
+from ivymux.transport.frames import MAX_FRAME_BYTES
 
 Answer = dict[str, Any]
 TICK_INTERVAL_S = 0.05  # between the ticks of a replica
 USUAL_COMMIT_S = 0.008
+# Messages whose length grows with the state.
+GROWING_MESSAGES = (RecordRepair, RecordsExpired, SettingsInForce, StateTransfer)
+
 EXIT_GRACE_S = 5.0  # within which a process has to exit after a request to stop
 
 
@@ -321,10 +333,16 @@
         """Send a message, which is lost on a cut link or at random."""
         if source != target and ((source, target) in self.cut_links or self.random.random() < self.loss_rate):
             return
+        self.check_length(message)
         incarnation = self.machines[target].incarnation
         delay = 0.0001 if source == target else self.message_delay_s()
         self.schedule(delay, lambda: self.deliver(source, target, incarnation, message))
 
+    def check_length(self, message: ReplicaMessage) -> None:
+        """Check that a message whose length grows with the state fits into one frame of the transport."""
+        if isinstance(message, GROWING_MESSAGES) and len(msgspec.json.encode(message)) > MAX_FRAME_BYTES:
+            raise GuaranteeViolation(f"{type(message).__name__} has more than {MAX_FRAME_BYTES} bytes")
+
     def deliver(self, source: str, target: str, incarnation: int, message: ReplicaMessage) -> None:
         """Deliver a message, unless the receiving process has ended since it was sent."""
         machine = self.machines[target]
--- a/ivymux/simulation/seeded_faults.py
+++ b/ivymux/simulation/seeded_faults.py
@@ -275,7 +275,7 @@
 class ConfirmsMissingRecords(RecordReplication):
     """Confirms the primary's records without comparing them."""
 
-    def send_digests(self, primary: str, epoch: int) -> None:
+    def send_digests(self, primary: str, epoch: int, resume_after: str = "") -> None:
         self.replica.send(primary, messages.StateStored(self.replica.identity, epoch))
 
 
--- a/ivymux/transport/connection.py
+++ b/ivymux/transport/connection.py
@@ -12,7 +12,8 @@
 from typing import Any, cast
 
 from ivymux.data_plane.limits import Address
-from ivymux.transport.frames import FrameDecoder, FrameError, Message, encode_frame
+from ivymux.runtime.log import Log
+from ivymux.transport.frames import FrameDecoder, FrameError, FrameTooLargeError, Message, encode_frame
 
 CONNECT_TIMEOUT_S = 0.8
 PING_INTERVAL_S = 0.7  # a ping is sent after this long without any other message
@@ -33,11 +34,32 @@
 REPLY_TO = "re"
 PING = "ping"
 
+TOO_LARGE = "the answer is too large for one message"
+LOGGED_OVERSIZED_COUNTS = (1, 10, 100, 1000)  # oversized messages are logged at these counts only
+
+log = Log("transport")
+
 
 class TransportError(Exception):
     """A call could not be made: there is no connection, or no answer arrived in time."""
 
 
+class OversizedMessages:
+    """Counts the messages of this process that were too large to be sent."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def add(self, error: FrameTooLargeError) -> None:
+        """Count a message, and log its kind and length."""
+        self.count += 1
+        if self.count in LOGGED_OVERSIZED_COUNTS:
+            log.info(f"not sent: {error} ({self.count} so far).")
+
+
+oversized_messages = OversizedMessages()
+
+
 class Connection(asyncio.Protocol):
     """One connection to another process of the system."""
 
@@ -91,8 +113,15 @@
             if not self.is_connected:
                 return
 
-    def send(self, message: Message) -> None:
-        self.write(encode_frame(message))
+    def send(self, message: Message) -> bool:
+        """Send a message; return False, and log and count it, if it is too large for one frame."""
+        try:
+            data = encode_frame(message)
+        except FrameTooLargeError as error:
+            oversized_messages.add(error)
+            return False
+        self.write(data)
+        return True
 
     def write(self, data: bytes) -> None:
         """Write a message that `encode_frame` encoded; one encoded message may go to many connections."""
@@ -118,8 +147,9 @@
         call_number = next(self.call_numbers)
         pending: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self.pending_calls[call_number] = pending
-        self.send({**message, CALL_NUMBER: call_number})
         try:
+            if not self.send({**message, CALL_NUMBER: call_number}):
+                raise TransportError("the call is too large for one message")
             return await asyncio.wait_for(pending, timeout)
         except TimeoutError:
             raise TransportError("no answer in time") from None
@@ -127,8 +157,9 @@
             self.pending_calls.pop(call_number, None)
 
     def answer(self, message: Message, **fields: Any) -> None:
-        """Answer the call that `message` carries."""
-        self.send({REPLY_TO: message.get(CALL_NUMBER), **fields})
+        """Answer the call that `message` carries; an answer that is too large is replaced by an error."""
+        if not self.send({REPLY_TO: message.get(CALL_NUMBER), **fields}):
+            self.send({REPLY_TO: message.get(CALL_NUMBER), "ok": False, "why": TOO_LARGE})
 
     def check_liveness(self) -> None:
         """Abort a connection on which nothing arrives any more; send a ping if nothing else was sent."""
--- a/ivymux/transport/frames.py
+++ b/ivymux/transport/frames.py
@@ -20,11 +20,24 @@
     """Bytes that violate the framing; the connection that they arrived on can't be used any further."""
 
 
+class FrameTooLargeError(FrameError):
+    """A message that is larger than MAX_FRAME_BYTES: a fault of its sender, which should have split it."""
+
+    def __init__(self, kind: str, size: int) -> None:
+        super().__init__(f"a message {kind!r} of {size} bytes exceeds the limit of {MAX_FRAME_BYTES}")
+        self.kind, self.size = kind, size
+
+
+def kind_of(message: Message) -> str:
+    """Return what a message calls itself, for the log."""
+    return next((str(message[key]) for key in ("kind", "k") if key in message), "answer")
+
+
 def encode_frame(message: Message) -> bytes:
-    """Encode one message as a netstring.  Raises FrameError if it is larger than MAX_FRAME_BYTES."""
+    """Encode one message as a netstring.  Raises FrameTooLargeError."""
     body = _encode(message)
     if len(body) > MAX_FRAME_BYTES:
-        raise FrameError(f"a message of {len(body)} bytes exceeds the limit of {MAX_FRAME_BYTES}")
+        raise FrameTooLargeError(kind_of(message), len(body))
     return b"%d:%s," % (len(body), body)
 
 
--- a/tests/config_store/test_idempotency_records.py
+++ b/tests/config_store/test_idempotency_records.py
@@ -173,7 +173,7 @@
 class ClaimsToBeRepaired(RecordReplication):
     """A backup that reports the state as stored without the repair."""
 
-    def send_digests(self, primary: str, epoch: int) -> None:
+    def send_digests(self, primary: str, epoch: int, resume_after: str = "") -> None:
         self.replica.send(primary, StateStored(self.replica.identity, epoch))
 
 
--- a/tests/idempotency/test_record_store.py
+++ b/tests/idempotency/test_record_store.py
@@ -25,6 +25,7 @@
     RecordLimits,
     RecordStore,
     key_range,
+    range_interval,
 )  # fmt: skip
 
 LIMITS = RecordLimits(retention_s=900.0, max_per_tenant=3, max_answer_chars=50)
@@ -121,7 +122,7 @@
         differing = newer.differing_ranges(older.digests)
         assert bool(differing) == (newer.root_digest() != older.root_digest())
         for number, records in newer.records_in_ranges(differing).items():
-            for changed, _ in older.repair_range(number, records, 1.0):
+            for changed, _ in older.repair([range_interval(number, records)], 1.0):
                 assert key_range(changed) == number
         assert older.root_digest() == newer.root_digest() and older.records == newer.records
         assert older.counts_by_tenant == newer.counts_by_tenant
