Backends: a header section with a second status line is no answer

Cause: the beginning of a second copy of the last answer, broken off within its first line, runs together with the next answer's status line; the parser takes the second one for a reason phrase. Change: such a section is refused; bytes before the second status line are dropped, and what follows counts only if it names its request; the connection is not used again. Why it works: a backend's answer always begins with a status line and names its try; an earlier answer names another.

--- a/ivymux/data_plane/backend_connection.py
+++ b/ivymux/data_plane/backend_connection.py
@@ -20,6 +20,10 @@
 
 MAX_HEAD_BYTES = 16 * 1024  # of an answer's header section, including interim answers
 MAX_CHUNKED_OVERHEAD = 8  # bytes on the wire for each byte of body, as a chunk may hold a single byte
+STATUS_LINE_START = b"HTTP/1."
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9][ \r]")
+HEAD_END = b"\r\n\r\n"
+SECOND_STATUS_LINE = "another answer begins within the header section"
 KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout\s*=\s*(\d{1,6})", re.ASCII | re.IGNORECASE)
 
 log = logging.getLogger(__name__)
@@ -52,11 +56,14 @@
         self.pool.upstream.held_bytes -= self.body_bytes
         self.result: Result | None = None  # set once the answer is complete
         self.is_reusable = False
+        self.head_bytes = b""  # what was read before the final answer's header section was complete
+        self.must_name_request = False  # whether the answer counts only if it names its request
         self.begin_answer()
 
     def begin_answer(self) -> None:
         """Reset what is known of the answer that is being received."""
         self.has_final_headers = False
+        self.reason = b""  # phrase of the status line
         # Whether the answer ended with its header section; the parser then still waits for a body.
         self.is_bodiless = False
         self.headers: list[tuple[bytes, bytes]] = []
@@ -102,11 +109,11 @@
             self.abort()  # an answer without a request: the bytes can't be attributed
             return
         self.read_bytes += len(data)
-        error: Exception | None = None
-        try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as caught:
-            error = caught
+        if not self.has_final_headers:
+            self.head_bytes += data
+        error = self.feed_parser(data)
+        while error is not None and self.result is None and self.restart_after_surplus():
+            error = self.feed_parser(self.head_bytes)
         if self.result is None:
             if error is not None:
                 log.warning("backend %s: invalid answer: %s", self.pool.backend, error.__context__ or error)
@@ -125,6 +132,32 @@
             self.attempt, self.result, self.is_reusable and error is None and not self.has_unsent_bytes
         )
 
+    def feed_parser(self, data: bytes) -> Exception | None:
+        """Parse bytes of the answer; return the error that ended it, if there was one."""
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            return error
+        return None
+
+    def restart_after_surplus(self) -> bool:
+        """Drop bytes that precede a status line, if the header section that holds it could not be read.
+
+        They are the beginning of a repeated earlier answer, broken off within its header section.  What
+        follows counts as the answer only if it names its request.
+        """
+        is_named = self.attempt is not None and self.attempt.request_id and self.policy.request_id_header
+        if self.has_final_headers or not is_named:
+            return False
+        found = STATUS_LINE.search(self.head_bytes, 1)
+        if found is None:
+            return False
+        self.head_bytes = self.head_bytes[found.start() :]
+        self.parser = httptools.HttpResponseParser(self)
+        self.must_name_request = self.had_mismatch = True
+        self.begin_answer()
+        return True
+
     def max_answer_bytes(self) -> int:
         """Return how many bytes may be read of an answer that is not complete."""
         if self.has_final_headers:
@@ -155,8 +188,23 @@
         if self.result is not None:
             raise InvalidAnswer("bytes after the answer")
 
+    def on_status(self, part: bytes) -> None:
+        self.reason += part
+
+    def check_single_status_line(self) -> None:
+        """Raise InvalidAnswer if a second status line stands within the header section.
+
+        Behind an answer to an earlier request, `head_bytes` does not begin with this answer; its headers are
+        then checked one by one.
+        """
+        head = b"" if self.had_mismatch else self.head_bytes.partition(HEAD_END)[0]
+        if STATUS_LINE.search(self.reason + b" ") or STATUS_LINE.search(head + b" ", 1):
+            raise InvalidAnswer(SECOND_STATUS_LINE)
+
     def on_header(self, name: bytes, value: bytes) -> None:
         name = name.lower()
+        if self.had_mismatch and STATUS_LINE.search(value + b" "):
+            raise InvalidAnswer(SECOND_STATUS_LINE)
         if name == b"server-load":
             self.load_report = value
         elif name == self.policy.not_run_header:
@@ -179,6 +227,8 @@
             self.headers.append((name, value))
 
     def on_headers_complete(self) -> None:
+        if self.had_mismatch or self.head_bytes.find(STATUS_LINE_START, 1) > 0:
+            self.check_single_status_line()
         status = self.parser.get_status_code()
         self.has_final_headers = status >= 200
         attempt = self.attempt if self.has_final_headers and self.policy.passes_all_statuses else None
@@ -209,6 +259,7 @@
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
         if status < 200:
+            self.head_bytes = self.head_bytes.partition(HEAD_END)[2]
             self.begin_answer()  # an interim answer; the final one follows
         elif not self.is_bodiless:
             self.on_answer_complete(status)
@@ -218,6 +269,8 @@
         if self.transport is None or self.transport.is_closing() or self.attempt is None:
             return
         answered_id, expected_id = self.answered_request_id, self.attempt.request_id
+        if self.must_name_request and not answered_id:
+            raise InvalidAnswer("the answer behind surplus bytes names no request")
         if answered_id and expected_id and answered_id != expected_id:
             # A repeated answer to an earlier request; the expected one may follow.
             if self.is_bodiless:
