Proxies: an address belongs to the newest backend that lives there

Cause: connections belong to an address; the late report that the predecessor is lost gave it back to it, while the decision module went on choosing the successor. Evidence: test_late_news_of_an_old_backend_leaves_the_pool_of_the_new_one fails on the former code ([1] == [9]). Why it works: late news of a predecessor finds the successor's claim, whatever the order or the registry.

--- a/ivymux/data_plane/upstream.py
+++ b/ivymux/data_plane/upstream.py
@@ -117,6 +117,8 @@
         self.loop = asyncio.get_running_loop()
         self.pools: dict[int, ConnectionPool] = {}
         self.backend_by_address: dict[Address, int] = {}
+        # Backends whose address another one has taken, with the address and the start that they had.
+        self.superseded: dict[int, tuple[Address, float]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.connection_count = 0  # including those that are being opened
         self.is_closed = False
@@ -130,18 +132,30 @@
         """Add a backend or replace its pool after a change of its address or a restart.
 
         The idle connections of the old pool are closed: a machine that has failed never closes them.
-        Attempts in flight on the others go on.
+        Attempts in flight on the others go on.  Unchanged news of a backend whose address another one has
+        taken changes nothing.
         """
         pool = self.pools.get(backend)
-        if pool is None or (pool.address, pool.started) != (address, started):
-            self.remove_backend(backend)
-            # Another backend at this address no longer exists; its requests must not be sent to this one.
-            self.remove_backend(self.backend_by_address.get(address, backend))
-            self.pools[backend] = ConnectionPool(self, backend, address, started)
-            self.backend_by_address[address] = backend
+        if pool is not None and (pool.address, pool.started) == (address, started):
+            return
+        holder = self.backend_by_address.get(address, backend)
+        if holder != backend and self.superseded.get(backend) == (address, started):
+            return
+        self.remove_backend(backend)
+        if holder != backend:
+            # That backend no longer exists; its requests must not be sent to this one.
+            self.superseded[holder] = address, self.pools[holder].started
+            self.close_pool(holder)
+        self.pools[backend] = ConnectionPool(self, backend, address, started)
+        self.backend_by_address[address] = backend
 
     def remove_backend(self, backend: int) -> None:
         """Forget a backend and close its idle connections; its attempts in flight go on."""
+        self.superseded.pop(backend, None)
+        self.close_pool(backend)
+
+    def close_pool(self, backend: int) -> None:
+        """Close a backend's idle connections, and send it nothing more."""
         if (pool := self.pools.pop(backend, None)) is not None:
             del self.backend_by_address[pool.address]
             pool.close_idle()
--- a/ivymux/proxy/keyed_requests.py
+++ b/ivymux/proxy/keyed_requests.py
@@ -36,7 +36,7 @@
     def __init__(
         self, connectors: Callable[[], list[Connector]], backends: Callable[[], Iterable[Backend]]
     ) -> None:
-        """`connectors`: to the core, the nearest first; `backends`: all in the membership view."""
+        """`connectors`: to the core, the nearest first; `backends`: those present in the membership view."""
         self.claims, self.homes = ActionClaims(connectors), HomeBackends()
         self.backends = backends
         self.is_stale = True  # whether backends have changed since `homes` was last updated
--- a/ivymux/proxy/membership_view.py
+++ b/ivymux/proxy/membership_view.py
@@ -4,6 +4,9 @@
 report with the highest `call_seq` decides, except that the end of a backend is final whichever registry
 reports it.  A backend that no connected registry lists is kept for a while: the registry that received its
 heartbeats may have just failed, and another one will receive them.
+
+Several backends may be known at one address, as a crash is noticed late.  The address belongs to one of them
+(`address_claims.py`); the others count as gone.
 """
 
 from __future__ import annotations
@@ -11,6 +14,8 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
+from ivymux.proxy.address_claims import AddressClaims
+
 ORPHAN_RETENTION_S = 6.0  # for a backend that no connected registry lists
 ENDED_RETENTION_S = 120.0  # for the id of a backend that has ended
 # States of a backend.
@@ -77,6 +82,7 @@
         self.backends: dict[str, Backend] = {}
         self.by_number: dict[int, Backend] = {}
         self.registries: dict[str, RegistryState] = {}
+        self.address_claims = AddressClaims()
         self.last_number = 0
         self.changed: dict[int, Backend] = {}  # since the last `drain_changes`
         self.proxies_changed = False
@@ -131,13 +137,22 @@
             number = self.last_number
             backend = Backend(id, service, address, zone, capacity, state, call_seq, warm_until, number)
             self.backends[id] = self.by_number[number] = backend
-            self.changed[backend.number] = backend
+            self.address_claims.claim(id, address)
+            self.mark_changed(backend)
         elif call_seq >= backend.call_seq and state != OFF and backend.state != OFF:
-            if (backend.service, backend.address) != (service, address):
-                self.changed[backend.number] = backend
-            backend.service, backend.address = service, address
+            is_moved = backend.address != address
+            if is_moved:
+                self.mark_changed(backend)
+                self.address_claims.release(id, backend.address)
+                self.address_claims.claim(id, address)
+            if is_moved or backend.service != service:
+                backend.service, backend.address = service, address
+                self.mark_changed(backend)
             backend.zone, backend.capacity = zone, capacity
-        backend.reports[name] = BackendReport(call_seq, state)
+        report = BackendReport(call_seq, state)
+        if backend.reports.get(name) != report and backend.state == QUIESCING:
+            self.mark_changed(backend)  # who holds its address may have changed
+        backend.reports[name] = report
         backend.last_listed_at = now
         self.recompute_state(backend, now)
 
@@ -163,7 +178,36 @@
             backend.call_seq = call_seq
         if state != previous:
             backend.state = state
-            self.changed[backend.number] = backend
+            self.mark_changed(backend)
+
+    def mark_changed(self, backend: Backend) -> None:
+        """Note a change of a backend, which may also change who else at its address holds that address."""
+        for id in self.address_claims.at(backend.address):
+            known = self.backends[id]
+            self.changed[known.number] = known
+
+    def holds_address(self, backend: Backend) -> bool:
+        """Whether requests to a backend's address reach this backend, as far as is known."""
+
+        def is_serving(id: str) -> bool:
+            return self.is_alive(self.backends[id])
+
+        return self.address_claims.holder(backend.address, is_serving) == backend.id
+
+    def is_alive(self, backend: Backend) -> bool:
+        """Whether a backend runs, as far as is known.
+
+        One that quiesces keeps that state when it falls silent, so its reports decide.
+        """
+        if backend.state != QUIESCING:
+            return backend.state == UP
+        reports = [report for name, report in backend.reports.items() if self.registry(name).connected]
+        newest = max((report.call_seq for report in reports), default=0)
+        return not reports or any(r.state != LOST for r in reports if r.call_seq == newest)
+
+    def present_backends(self) -> list[Backend]:
+        """Return the backends but those whose address belongs to another one by now."""
+        return [backend for backend in self.backends.values() if self.holds_address(backend)]
 
     def on_disconnected(self, name: str, now: float) -> None:
         """Handle the end of the connection to a registry."""
@@ -185,8 +229,9 @@
             unlisted_for = now - backend.last_listed_at
             if backend.state in (UP, QUIESCING) and unlisted_for > ORPHAN_RETENTION_S:
                 backend.state = LOST
-                self.changed[backend.number] = backend
+                self.mark_changed(backend)
             elif backend.state in (OFF, LOST) and unlisted_for > ENDED_RETENTION_S:
+                self.address_claims.release(backend.id, backend.address)
                 del self.backends[backend.id], self.by_number[backend.number]
 
     def drain_changes(self) -> list[Backend]:
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -182,7 +182,7 @@
         if self.keyed_requests is None:
             from ivymux.proxy.keyed_requests import KeyedRequests
 
-            self.keyed_requests = KeyedRequests(self.core_connectors, self.membership.backends.values)
+            self.keyed_requests = KeyedRequests(self.core_connectors, self.membership.present_backends)
             if self.conversation_settings:
                 self.keyed_requests.update_settings(self.conversation_settings)
         return self.keyed_requests
@@ -319,7 +319,7 @@
                 address = parse_address(backend.address)
             except ConfigError:
                 continue  # backends that had ended when first reported have no address
-            state = gateway_state(backend)
+            state = gateway_state(backend, self.membership.holds_address(backend))
             if state is State.GONE:
                 if backend.number not in self.instance_ids:
                     continue
@@ -441,8 +441,8 @@
             self.metrics_server.close()
 
 
-def gateway_state(backend: Backend) -> State:
+def gateway_state(backend: Backend, holds_address: bool) -> State:
     """Return a backend's state in the terms of the decision module."""
-    if backend.state == OFF:
+    if backend.state == OFF or not holds_address:
         return State.GONE
     return State.READY if backend.state == UP else State.DRAINING
--- a/tests/proxy/test_membership_view.py
+++ b/tests/proxy/test_membership_view.py
@@ -4,6 +4,9 @@
 
 from typing import Any
 
+from hypothesis import given
+from hypothesis import strategies as st
+
 from ivymux.proxy.counter_holders import DEPARTED_RESERVE_S, SEATS, SETTLE_S, CounterHolders
 from ivymux.proxy.membership_view import LOST, OFF, QUIESCING, UP, MembershipView
 from ivymux.runtime.clock import SystemClock
@@ -134,3 +137,91 @@
     assert clock.system_time(10.0) == 1000.0
     clock.update("a", 1002.4, 10.0)
     assert clock.system_time(11.0) == 1003.4  # the majority now agrees on the later time
+
+
+# --- addresses that are used again -------------------------------------------------------------------------
+
+
+def present(view: MembershipView) -> set[str]:
+    return {backend.id for backend in view.present_backends() if backend.state in (UP, QUIESCING)}
+
+
+def changed(view: MembershipView) -> set[str]:
+    return {backend.id for backend in view.drain_changes()}
+
+
+# Guards against the review's case 6: the news that a crashed backend is silent took the address back from its
+# successor, which was then never sent a request again.
+def test_late_news_of_a_backend_leaves_its_address_to_the_successor() -> None:
+    view = MembershipView()
+    snapshot(view, "a", entry("i-1", UP, 5))
+    view.apply_changes("a", 1, 2, [entry("i-2", UP, 1)], 1.0)
+    assert present(view) == {"i-2"} and changed(view) == {"i-1", "i-2"}
+    view.apply_changes("a", 2, 3, [entry("i-1", LOST, 5)], 3.5)
+    assert present(view) == {"i-2"} and "i-2" in changed(view)
+    view.apply_changes("a", 3, 4, [entry("i-1", UP, 6)], 4.0)  # a call of its that was late
+    assert present(view) == {"i-2"}
+    view.apply_changes("a", 4, 5, [entry("i-1", OFF, 7)], 5.0)
+    assert present(view) == {"i-2"}
+
+
+def test_an_address_that_is_used_by_another_service_belongs_to_that_one() -> None:
+    view = MembershipView()
+    snapshot(view, "a", entry("i-1", UP, 5, service="archive"))
+    snapshot(view, "b", entry("i-2", UP, 1, service="desk"))
+    view.on_disconnected("a", 1.0)
+    view.expire_backends(8.0)
+    assert present(view) == {"i-2"}
+
+
+def test_a_list_in_any_order_leaves_the_address_to_the_backend_that_serves() -> None:
+    for order in ((entry("i-1", LOST, 5), entry("i-2", UP, 1)), (entry("i-2", UP, 1), entry("i-1", LOST, 5))):
+        view = MembershipView()
+        snapshot(view, "a", *order)
+        assert present(view) == {"i-2"}
+
+
+def test_a_predecessor_that_is_learned_of_last_gives_the_address_back_once_it_is_lost() -> None:
+    view = MembershipView()
+    snapshot(view, "a", entry("i-2", UP, 1))
+    snapshot(view, "b", entry("i-1", UP, 5))
+    view.drain_changes()
+    view.apply_changes("b", 1, 2, [entry("i-1", LOST, 5)], 3.0)
+    assert present(view) == {"i-2"} and changed(view) == {"i-1", "i-2"}
+
+
+def test_a_backend_that_moves_leaves_its_address_to_whoever_is_there() -> None:
+    view = MembershipView()
+    snapshot(view, "a", entry("i-1", UP, 5), entry("i-2", UP, 1))
+    assert present(view) == {"i-2"}
+    view.apply_changes("a", 1, 2, [entry("i-2", UP, 2, "10.0.0.8:80")], 1.0)
+    assert present(view) == {"i-1", "i-2"}
+    view.apply_changes("a", 2, 3, [entry("i-2", LOST, 2, "10.0.0.8:80")], 2.0)
+    view.expire_backends(200.0)
+    assert present(view) == {"i-1"} and "10.0.0.8:80" not in view.address_claims.claimants
+
+
+NEWS = st.lists(
+    st.tuples(
+        st.sampled_from("abc"),  # a registry
+        st.integers(0, 2),  # a former life of the machine at the address
+        st.sampled_from([UP, QUIESCING, LOST, OFF]),
+    ),
+    max_size=20,
+)
+
+
+@given(NEWS, NEWS, st.sampled_from("abc"))
+def test_the_last_life_at_an_address_is_present_once_the_former_ones_are_lost(
+    before: list[tuple[str, int, str]], after: list[tuple[str, int, str]], registry_of_last: str
+) -> None:
+    view = MembershipView()
+    for registry in "abc":
+        snapshot(view, registry)
+    lost = [(registry, life, LOST) for registry in "abc" for life in range(3)]
+    sequence = dict.fromkeys("abc", 1)
+    for number, (registry, life, state) in enumerate([*before, (registry_of_last, 9, UP), *after, *lost]):
+        sequence[registry] += 1
+        news = [entry(f"i-{life}", state, number)]
+        assert view.apply_changes(registry, sequence[registry] - 1, sequence[registry], news, 1.0)
+    assert present(view) == {"i-9"}
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -193,6 +193,31 @@
     run(test())
 
 
+# Guards against the review's case 6 where a list of the platform or of an inventory names both.
+def test_late_news_of_an_old_backend_leaves_the_pool_of_the_new_one() -> None:
+    async def test() -> None:
+        backend = FakeBackend(echo)
+        async with (
+            listening(backend.handle) as endpoint,
+            platform_gateway(endpoint, react=send_to_first) as (gateway, _),
+        ):
+            upstream = gateway.host.upstream
+            await until(lambda: FIRST in upstream.pools)
+            pool = upstream.pools[FIRST]
+            upstream.update_backend(9, pool.address, 0.0)
+            upstream.update_backend(FIRST, pool.address, pool.started)
+            assert list(upstream.pools) == [9]
+            upstream.update_backend(FIRST, pool.address, pool.started + 1.0)  # it has started again there
+            assert list(upstream.pools) == [FIRST]
+            upstream.update_backend(9, pool.address, 0.0)
+            assert list(upstream.pools) == [FIRST]
+            upstream.remove_backend(FIRST)
+            upstream.update_backend(9, pool.address, 0.0)
+            assert list(upstream.pools) == [9]
+
+    run(test())
+
+
 def test_an_attempt_given_up_while_connecting_is_never_written() -> None:
     async def test() -> None:
         backend = FakeBackend(echo)
