Data plane: a connection is not ended while its client reads an answer

Cause: a request counts as answered when its answer is handed to the connection; what is in the write buffer goes with the process. Three other times (3 s after a last answer, 15 or 2 s idle, eviction) began at the same moment. Change: stops of proxies, registries, ivymux serve and host and the platform's gateway wait for write buffers, within the times they had; connections are idle, or linger, from when their answer is sent; a client that reads nothing for 30 s is closed in all products. Why it works: whether an answer is finished is read from the transport's buffer.

--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -8,6 +8,8 @@
 import time
 from collections import OrderedDict, deque
 from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import islice
 from typing import TYPE_CHECKING, cast
 
 import httptools
@@ -26,7 +28,8 @@
 READ_TIMEOUT_S = 2.3  # to receive a complete request; the first one is timed from the connect
 IDLE_TIMEOUT_S = 15.0  # of a keep-alive connection, while fewer than half of all connections are in use
 LINGER_S = 3.0  # for a client to read the last answer on its connection
-UNREAD_TIMEOUT_S = 30.0  # for a client to read the answers in its write buffer
+UNREAD_TIMEOUT_S = 30.0  # within which a client has to read anything of the answers in its write buffer
+MAX_EVICTION_CANDIDATES = 32  # connections of a queue that are looked at
 SWEEP_INTERVAL_S = 0.25  # between two checks of these timeouts
 EVICTABLE_IDLE_S = 2.0  # idle time after which a connection may be closed in favour of a new one
 EVICTABLE_SILENT_S = 0.1  # the same for one that sent no request yet or got its last answer
@@ -64,6 +67,20 @@
                 call.on_finished()
 
 
+@dataclass(slots=True)
+class ReadProgress:
+    """How far a client with a full write buffer has come in reading its answers."""
+
+    at: float  # monotonic time at which it was last seen to have read something
+    unsent_bytes: int  # at that time
+
+    def update(self, now: float, unsent_bytes: int) -> None:
+        """Note how much is still unsent."""
+        if unsent_bytes < self.unsent_bytes:
+            self.at = now
+        self.unsent_bytes = unsent_bytes
+
+
 class ClientConnection(asyncio.Protocol):
     """One client connection with its parser and its pipelined requests."""
 
@@ -282,12 +299,17 @@
                 self.server.receiving_clients if self.is_receiving else self.server.idle_clients
             )
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of answers that wait for the client to read; 0 once all are with the kernel."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
     def pause_writing(self) -> None:
         """Read no further requests from a client that does not read its answers, to bound the buffer."""
         if self.transport is not None:
             self.transport.pause_reading()
         slow_readers = self.server.slow_readers
-        slow_readers[self] = time.monotonic()
+        slow_readers[self] = ReadProgress(time.monotonic(), self.unsent_bytes)
         if len(slow_readers) > self.server.frontend.max_unread_clients:
             next(iter(slow_readers)).abort()
 
@@ -348,7 +370,7 @@
         self.idle_clients: OrderedDict[ClientConnection, None] = OrderedDict()  # between two requests
         self.receiving_clients: OrderedDict[ClientConnection, None] = OrderedDict()  # within a request
         self.closing_clients: OrderedDict[ClientConnection, None] = OrderedDict()  # after the last answer
-        self.slow_readers: dict[ClientConnection, float] = {}  # since when their write buffers are full
+        self.slow_readers: dict[ClientConnection, ReadProgress] = {}  # whose write buffers are full
         self.open_keys: set[bytes] = set()  # of requests that are not finished
         self.held_bytes = 0
         self.is_stopping = False
@@ -451,13 +473,17 @@
             (self.closing_clients, 0.0), (self.idle_clients, 0.0), (self.new_clients, 0.0),
         )  # fmt: skip
         for queue, min_wait_s in choices:
-            first = next(iter(queue), None)
+            candidates = islice(queue, MAX_EVICTION_CANDIDATES)
+            first = next((client for client in candidates if not client.unsent_bytes), None)
             if first is not None and first is not newest and now - first.queued_at >= min_wait_s:
                 return first
         return None
 
     def close_overdue(self) -> None:
-        """Close connections whose client has exceeded a timeout for sending, idling or reading."""
+        """Close connections whose client has exceeded a timeout for sending, idling or reading.
+
+        A connection is idle, or lingers, from when its last answer is sent: clients may read slowly.
+        """
         late = BadRequest("the request did not come whole", 408)
         for queue, timeout in (
             (self.new_clients, self.read_timeout),
@@ -470,14 +496,26 @@
         is_half_full = len(self.clients) >= self.max_clients / 2
         max_idle_s = EVICTABLE_IDLE_S if is_half_full else self.idle_timeout
         for queue, timeout in ((self.idle_clients, max_idle_s), (self.closing_clients, LINGER_S)):
-            for client in self.pop_overdue(queue, timeout):
-                client.abort()  # `close` would wait for a client that never reads its last answer
-        if self.frontend.allows_half_close:  # on the platform other timeouts already cover slow readers
-            latest = time.monotonic() - UNREAD_TIMEOUT_S
-            for client in [client for client, since in self.slow_readers.items() if since < latest]:
-                client.abort()
+            for client in list(self.pop_overdue(queue, timeout)):
+                if client.unsent_bytes:
+                    client.move_to_queue(queue)
+                else:
+                    client.abort()
+        self.close_stalled_readers()
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.close_overdue)
 
+    def close_stalled_readers(self) -> None:
+        """Close connections whose client has read nothing of its answers for UNREAD_TIMEOUT_S."""
+        now = time.monotonic()
+        for client, progress in list(self.slow_readers.items()):
+            progress.update(now, client.unsent_bytes)
+            if now - progress.at > UNREAD_TIMEOUT_S:
+                client.abort()
+
+    def has_unsent_answers(self) -> bool:
+        """Whether any client has not yet read all of its answers, as far as they are in this process."""
+        return any(client.unsent_bytes for client in self.clients)
+
     def pop_overdue(
         self, queue: OrderedDict[ClientConnection, None], timeout: float
     ) -> Iterator[ClientConnection]:
--- a/ivymux/platform/program.py
+++ b/ivymux/platform/program.py
@@ -104,12 +104,16 @@
         if self.counter is not None and config.counter is not None:
             self.counter.change_address(config.counter)
 
+    def has_unfinished_answers(self) -> bool:
+        """Whether clients still wait for answers, or read them."""
+        return bool(self.host.unanswered_count) or self.server.has_unsent_answers()
+
     async def drain(self) -> None:
         """Serve new connections for `LINGER_S`, finish open requests within `drain_timeout`, then close."""
         started_at = time.monotonic()
         await asyncio.sleep(LINGER_S)
         self.server.stop_listening()
-        while self.host.unanswered_count and time.monotonic() - started_at < self.drain_timeout:
+        while self.has_unfinished_answers() and time.monotonic() - started_at < self.drain_timeout:
             await asyncio.sleep(0.01)
         self.host.finish_all()
         await self.close()
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -408,11 +408,15 @@
 
     # --- shutdown ------------------------------------------------------------------------------------------
 
+    def has_unfinished_answers(self) -> bool:
+        """Whether clients still wait for answers, or read them."""
+        return bool(self.host.unanswered_count) or self.server.has_unsent_answers()
+
     async def stop(self) -> None:
         """Stop gracefully.
 
-        Reports not ready first, accepts connections for a while, then finishes open requests within the
-        configured shutdown grace.
+        Reports not ready first, accepts connections for a while, then finishes open requests, and lets
+        clients read their answers, within the configured shutdown grace.
         """
         started_at = time.monotonic()
         self.is_stopping = self.server.closes_after_answer = True
@@ -420,7 +424,7 @@
         await asyncio.sleep(min(STOP_LISTENING_DELAY_S, self.settings.shutdown_grace_s / 2))
         self.server.stop_listening()
         deadline = started_at + self.settings.shutdown_grace_s - STOP_MARGIN_S
-        while self.host.unanswered_count and time.monotonic() < deadline:
+        while self.has_unfinished_answers() and time.monotonic() < deadline:
             await asyncio.sleep(STOP_POLL_S)
         self.host.finish_all()
         if line := self.host.departures.log_line():
--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -68,6 +68,7 @@
 MAX_REPORTED_FAILURES = 10_000  # of one backend in one message
 MAX_HEARTBEAT_BYTES = 16 * 1024
 STOP_TIMEOUT_S = 1.0  # for HTTP calls under way
+STOP_POLL_S = 0.02
 LOGGED_COUNTS = (1, 10, 100, 1000)  # repeated events are logged at these counts only
 
 # How the process's file descriptors are divided.
@@ -528,12 +529,16 @@
             return error_answer(404, "there are no settings of conversations; the defaults are in force")
         return Answer(200, text.encode(), JSON)
 
+    def has_unfinished_answers(self) -> bool:
+        """Whether callers still wait for answers, or read them."""
+        return bool(self.http_calls.tasks) or self.server.has_unsent_answers()
+
     async def stop(self) -> None:
         """Finish HTTP calls under way, then close all connections, by which proxies notice the end."""
         self.server.stop_listening()
         until = time.monotonic() + STOP_TIMEOUT_S
-        while self.http_calls.tasks and time.monotonic() < until:
-            await asyncio.wait(self.http_calls.tasks, timeout=0.1)
+        while self.has_unfinished_answers() and time.monotonic() < until:
+            await asyncio.sleep(STOP_POLL_S)
         self.is_stopping = True
         if self.announce_timer is not None:
             self.announce_timer.cancel()
--- a/ivymux/service/lifecycle.py
+++ b/ivymux/service/lifecycle.py
@@ -12,6 +12,7 @@
 from ivymux.data_plane.server import Server
 
 LINGER_S = 0.6  # after SIGTERM, while clients may still open connections
+DRAIN_POLL_S = 0.01
 DRAIN_MARGIN_S = 0.4  # beyond the longest deadline, for the last open requests to be answered
 
 
@@ -50,13 +51,18 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
+    def has_unfinished_answers(self) -> bool:
+        """Whether clients still wait for answers, or read them."""
+        return bool(self.unanswered_count) or self.server.has_unsent_answers()
+
     async def drain(self) -> None:
         """Serve new connections for `LINGER_S`, finish open requests by their deadlines, then close."""
         started_at = time.monotonic()
         await asyncio.sleep(LINGER_S)
         self.server.stop_listening()
-        while self.unanswered_count and time.monotonic() - started_at < self.max_deadline_s + DRAIN_MARGIN_S:
-            await asyncio.sleep(0.01)
+        deadline = started_at + self.max_deadline_s + DRAIN_MARGIN_S
+        while self.has_unfinished_answers() and time.monotonic() < deadline:
+            await asyncio.sleep(DRAIN_POLL_S)
         self.finish_all()
         await self.close()
 
--- /dev/null
+++ b/tests/test_slow_readers.py
@@ -0,0 +1,150 @@
+"""Clients that read long answers slowly keep their connections until they have read them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+
+from ivymux.data_plane import server as data_plane
+from ivymux.data_plane.frontend import Answer
+from ivymux.data_plane.limits import Address, Bounds
+from ivymux.data_plane.server import Server
+from ivymux.proxy.status_pages import StatusPagesFrontend
+
+from .sockets import run, until
+
+BODY = b"m" * (24 << 20)  # more than the sockets of loopback addresses hold
+CLOSING = b"GET /long HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+KEPT = b"GET /long HTTP/1.1\r\nHost: h\r\n\r\n"
+SHORT_S = 0.1  # in place of the times after which a connection that does nothing is closed
+
+
+@contextlib.asynccontextmanager
+async def long_answers(max_clients: int = 100) -> AsyncIterator[Server]:
+    frontend = StatusPagesFrontend({b"/long": lambda: Answer(200, BODY), b"/short": lambda: Answer(200)})
+    bounds = Bounds(max_clients, 5, 10, 1 << 20)
+    server = Server(frontend, Address("127.0.0.1", 0), bounds, None)
+    await server.start()
+    try:
+        yield server
+    finally:
+        server.stop_listening()
+        server.close()
+
+
+class SlowReader:
+    """A client that has sent a request and reads only when it is told to."""
+
+    def __init__(self, server: Server) -> None:
+        assert server.asyncio_server is not None
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+        self.socket.setblocking(False)
+        self.address = server.asyncio_server.sockets[0].getsockname()
+        self.read_bytes = 0
+
+    async def ask(self, request: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(self.socket, self.address)
+        await loop.sock_sendall(self.socket, request)
+
+    async def read(self, count: int) -> None:
+        """Read up to `count` bytes more, or to the end of the connection."""
+        loop, wanted = asyncio.get_running_loop(), self.read_bytes + count
+        while self.read_bytes < wanted and (data := await loop.sock_recv(self.socket, 256 << 10)):
+            self.read_bytes += len(data)
+
+    async def has_whole_answer(self) -> bool:
+        await self.read(len(BODY))
+        self.socket.close()
+        return self.read_bytes >= len(BODY)
+
+
+async def sweeps(server: Server, count: int) -> None:
+    """Wait until timeouts have been checked `count` times more."""
+    seen: list[Any] = []
+
+    def is_done() -> bool:
+        if not seen or seen[-1] is not server.sweep_timer:
+            seen.append(server.sweep_timer)
+        return len(seen) > count
+
+    await until(is_done)
+
+
+# Guards against the review's case 7, and its 3 s after `Connection: close`: the time for the client to close
+# began when the answer was handed over, not when it was sent.
+@pytest.mark.parametrize("request_bytes", [CLOSING, KEPT])
+def test_a_client_that_reads_slowly_gets_its_whole_answer(
+    request_bytes: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(data_plane, "LINGER_S", SHORT_S)
+    monkeypatch.setattr(data_plane, "EVICTABLE_IDLE_S", SHORT_S)
+
+    async def test() -> None:
+        async with long_answers() as server:
+            server.idle_timeout = SHORT_S
+            reader = SlowReader(server)
+            await reader.ask(request_bytes)
+            await reader.read(1000)
+            for _ in range(4):
+                await sweeps(server, 1)
+                await reader.read(100_000)
+            assert await reader.has_whole_answer()
+
+    run(test())
+
+
+def test_a_connection_with_an_unread_answer_is_not_closed_for_a_new_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(data_plane, "EVICTABLE_SILENT_S", 0.0)
+
+    async def test() -> None:
+        async with long_answers(max_clients=1) as server:
+            reader, other = SlowReader(server), SlowReader(server)
+            await reader.ask(KEPT)
+            await reader.read(1000)
+            await until(lambda: server.idle_clients)
+            await other.ask(KEPT)
+            await until(lambda: len(server.clients) == 2)
+            assert await reader.has_whole_answer()
+            other.socket.close()
+
+    run(test())
+
+
+def test_unsent_answers_are_known_until_they_are_read() -> None:
+    async def test() -> None:
+        async with long_answers() as server:
+            reader = SlowReader(server)
+            await reader.ask(KEPT)
+            await reader.read(1000)
+            assert server.has_unsent_answers()
+            server.stop_listening()
+            await sweeps(server, 1)
+            assert server.has_unsent_answers()
+            assert await reader.has_whole_answer()
+            await until(lambda: not server.has_unsent_answers())
+
+    run(test())
+
+
+def test_a_client_that_reads_nothing_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(data_plane, "UNREAD_TIMEOUT_S", SHORT_S)
+
+    async def test() -> None:
+        async with long_answers() as server:
+            reader = SlowReader(server)
+            await reader.ask(CLOSING)
+            await reader.read(1000)
+            assert server.clients
+            await until(lambda: not server.clients)
+            reader.socket.close()
+
+    run(test())
