Registry: nothing is acknowledged before the fleet is known

Cause: half of the proxies known is enough, and a registry that has just started knows none; after 20 s cut off it had forgotten them all. Evidence: a core machine that starts alone answers 200 on the former code (test_control.py), 503 now. Change: the config store reports whether the machine reaches a majority (connected and heard within 1.5 s); a registry that is not founding the system acknowledges after 1 s of that; cut off, it forgets no proxy. Why it works: proxies in touch connect to each machine that reaches the core within that second.

--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -38,6 +38,7 @@
 SHUTDOWN_MARGIN_S = 1.0  # before the end of `grace`, when the process ends even if it is still needed
 SHUTDOWN_POLL_INTERVAL_S = 0.02
 CALL_TIMEOUT_S = 0.85  # for a call that names no timeout; callers try another machine after about 1 s
+CONTACT_TIMEOUT_S = 1.5  # in which two pings arrive from a machine that is reached
 CALL_RETRY_INTERVAL_S = 0.04
 CALL_POLL_INTERVAL_S = 0.05
 MIN_FORWARD_TIMEOUT_S = 0.02  # with less time left, a call is not forwarded
@@ -81,6 +82,7 @@
         self.cores: list[str] = []  # addresses, as last sent to registries
         self.invalid_messages = 0
         self.isolation = IsolationDetector()
+        self.has_contact = False  # whether a majority of the core is reached, as last sent to registries
         self.incompatible_peers: set[str] = set()  # addresses that use another version of the protocol
         self.is_ending = False
         self.tasks: set[asyncio.Task[None]] = set()
@@ -173,6 +175,7 @@
         for setting in self.replica.record_replication.settings.values():
             connection.send(self.setting_message(setting))
         connection.send({"k": "cores", "l": self.cores})
+        connection.send(self.contact_message())
 
     def on_disconnect(self, connection: Connection) -> None:
         self.registries.discard(connection)
@@ -185,6 +188,10 @@
         """Return the update that carries a replicated setting."""
         return {"k": "note", "name": setting.name, "v": setting.version, "t": setting.text}
 
+    def contact_message(self) -> Message:
+        """Return the update that says whether this machine reaches a majority of the core."""
+        return {"k": "contact", "v": self.has_contact}
+
     def notify_registries(self, message: Message) -> None:
         """Send an update to all connected registries."""
         for registry in self.registries:
@@ -195,7 +202,9 @@
         epoch = self.replica.known_epoch
         addresses = {address_of(member) for member in epoch.voters()} if epoch is not None else set()
         connected = {address for address, peer in self.peers.items() if peer.is_connected}
-        self.isolation.update(time.monotonic(), epoch, self.replica.identity, connected)
+        now = time.monotonic()
+        self.isolation.update(now, epoch, self.replica.identity, connected & self.heard_addresses(now))
+        self.update_contact(epoch is not None and self.isolation.isolated_since is None)
         addresses |= connected | {self.settings.ip}
         cores = sorted(addresses)
         if cores != self.cores:
@@ -213,6 +222,27 @@
                 peer.close()
                 del self.peers[address]
 
+    def heard_addresses(self, now: float) -> set[str]:
+        """Return the addresses of core machines that have sent anything within CONTACT_TIMEOUT_S."""
+        since = now - CONTACT_TIMEOUT_S
+        accepted = {
+            connection.peer
+            for connection in self.listener.connections
+            if isinstance(connection.peer, str) and connection.has_heard(since)
+        }
+        opened = {
+            address
+            for address, peer in self.peers.items()
+            if peer.connection is not None and peer.connection.has_heard(since)
+        }
+        return accepted | opened
+
+    def update_contact(self, has_contact: bool) -> None:
+        """Tell registries when this machine begins or ceases to reach a majority of the core."""
+        if has_contact != self.has_contact:
+            self.has_contact = has_contact
+            self.notify_registries(self.contact_message())
+
     # --- actions -------------------------------------------------------------------------------------
 
     def carry_out(self, actions: list[Action]) -> None:
--- a/ivymux/registry/message_kinds.py
+++ b/ivymux/registry/message_kinds.py
@@ -27,6 +27,9 @@
 SETTING = "note"  # name, v: version, t: text
 CORES = "cores"  # l: addresses
 
+# To a registry from its config store.
+CONTACT = "contact"  # v: whether the machine reaches a majority of the core
+
 # To the config store.
-SUBSCRIPTION = "desk"  # asks for CONFIG, SETTING and CORES messages from now on
+SUBSCRIPTION = "desk"  # asks for CONFIG, SETTING, CORES and CONTACT messages from now on
 CONFIG_READ = "get"  # a call: the newest configuration
--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -135,7 +135,7 @@
         self.unix_offset = time.time() - time.monotonic()  # system time minus steady time
         self.backends = BackendRecords(MAX_SILENT_HEARTBEATS * settings.heartbeat_period_s)
         self.proxies: dict[Connection, ConnectedProxy] = {}
-        self.reachability = ProxyReachability()
+        self.reachability = ProxyReachability(knows_fleet=settings.is_initial_start)
         max_proxies = max(MIN_PROXY_CONNECTIONS, int(settings.fd_limit * PROXY_FD_SHARE))
         self.listener = Listener(
             self.on_message, on_disconnect=self.on_disconnect, max_connections=max_proxies
@@ -405,6 +405,8 @@
                 self.broadcast(encode_frame(setting_message(name, version, text)))
                 if name == TRIALS:
                     self.trial_service().apply(text)
+        elif kind == kinds.CONTACT:
+            self.reachability.update_contact(message["v"] is True, time.monotonic())
         elif kind == kinds.CORES:
             cores = [str(address) for address in message["l"]]
             if cores != self.cores:
--- a/ivymux/registry/proxy_reachability.py
+++ b/ivymux/registry/proxy_reachability.py
@@ -4,6 +4,10 @@
 acknowledged call must hold at all proxies, so the registry refuses to acknowledge while it reaches less than
 half of the proxies that were connected recently; the backend then repeats its call at another registry.
 The change itself is still passed on to the proxies that are connected.
+
+A registry that has just started knows no proxies, and cannot tell whether there are none.  Unless it is the
+system's first start, it acknowledges nothing before its machine has reached a majority of the core for
+SETTLE_S: the proxies in touch have connected by then.  While its machine is cut off, it forgets no proxy.
 """
 
 from __future__ import annotations
@@ -12,6 +16,7 @@
 from dataclasses import dataclass, field
 
 RETENTION_S = 20.0  # a disconnected proxy counts this long unless it comes back
+SETTLE_S = 1.0  # within which proxies connect to a machine that they reach; they try each 0.1 s
 
 
 @dataclass(slots=True)
@@ -20,6 +25,16 @@
 
     connections: dict[str, int] = field(default_factory=dict)  # open connections by address
     disconnected_at: dict[str, float] = field(default_factory=dict)  # end of an address's last connection
+    knows_fleet: bool = True  # whether the proxies that it has seen are all that it has to reach
+    has_contact: bool | None = None  # whether the machine reaches a majority of the core; None: not known yet
+    contact_since: float = 0.0
+
+    def update_contact(self, has_contact: bool, now: float) -> None:
+        """Note whether the machine reaches a majority of the core, as its config store reports it."""
+        if has_contact and not self.has_contact:
+            self.contact_since = now
+            self.disconnected_at = dict.fromkeys(self.disconnected_at, now)
+        self.has_contact = has_contact
 
     def on_connect(self, address: str) -> None:
         self.connections[address] = self.connections.get(address, 0) + 1
@@ -34,8 +49,20 @@
             self.disconnected_at[address] = now
 
     def is_sufficient(self, reached: Iterable[str], now: float) -> bool:
-        """Whether the `reached` proxies are at least half of all recently connected ones."""
+        """Whether the `reached` proxies are at least half of all that have to be reached."""
+        if self.has_contact and now - self.contact_since >= SETTLE_S:
+            self.knows_fleet = True
+        if not self.knows_fleet:
+            return False
+        if self.has_contact is not False:
+            self.forget_disconnected(now)
+        known = self.connections.keys() | self.disconnected_at.keys()
+        if not known:
+            return self.has_contact is not False
+        return 2 * len(set(reached)) >= len(known)
+
+    def forget_disconnected(self, now: float) -> None:
+        """Drop the proxies that have been disconnected for RETENTION_S."""
         self.disconnected_at = {
             address: at for address, at in self.disconnected_at.items() if now - at < RETENTION_S
         }
-        return 2 * len(set(reached)) >= len(self.connections.keys() | self.disconnected_at.keys())
--- a/ivymux/transport/connection.py
+++ b/ivymux/transport/connection.py
@@ -78,6 +78,7 @@
         self.call_numbers = itertools.count(1)
         self.liveness_timer: asyncio.TimerHandle | None = None
         self.is_connected = False
+        self.has_received = False  # whether anything has arrived; a relay may accept a connection to nobody
         self.is_aborted = False
         self.frame_errors = 0
 
@@ -94,6 +95,7 @@
 
     def data_received(self, data: bytes) -> None:
         self.last_received_at = time.monotonic()
+        self.has_received = True
         try:
             messages = self.frame_decoder.feed(data)
         except FrameError:
@@ -113,6 +115,10 @@
             if not self.is_connected:
                 return
 
+    def has_heard(self, since: float) -> bool:
+        """Whether the connection is open and something has arrived on it after the steady time `since`."""
+        return self.is_connected and self.has_received and self.last_received_at > since
+
     def send(self, message: Message) -> bool:
         """Send a message; return False, and log and count it, if it is too large for one frame."""
         try:
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -101,3 +101,24 @@
             assert len(set(cluster.copy_holders())) == 3
 
     asyncio.run(scenario())
+
+
+# Guards against the review's case 8, over real processes.
+def test_a_machine_that_starts_alone_acknowledges_no_departure(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with local_cluster(tmp_path, proxy_count=0) as cluster:
+            await cluster.start_all(initial_start=True)
+            await cluster.put_configuration(build_configuration(1))
+            first, *others = cluster.core_ips
+            for ip in cluster.core_ips:
+                await cluster.kill(ip)
+            await cluster.start(first)
+            while (status := (await cluster.call_core("DELETE", first, "/instances/i-1"))[0]) == 0:
+                await asyncio.sleep(0.05)
+            assert status == 503
+            for ip in others:
+                await cluster.start(ip)
+            while (await cluster.call_core("DELETE", first, "/instances/i-1"))[0] != 200:
+                await asyncio.sleep(0.05)
+
+    asyncio.run(scenario())
