Idempotency: an open record outlives its claim

What callers would see: with kept_for 60s and a deadline of ten minutes, a repeat after 61 s runs the action again. Cause: the retention time of an open record began with its claim, not with the action's end. Evidence: the new test fails before (the open record is among the expired ones at 62 s). Why it works: an open record is kept for its lifetime and the retention time after it.

--- a/ivymux/idempotency/record_store.py
+++ b/ivymux/idempotency/record_store.py
@@ -240,9 +240,18 @@
             for key, since in index.items():
                 if now - since <= retention_s or len(found) >= limit:
                     break
-                found.append(key)
+                if now - since > retention_s + self.open_lifetime_s(key):
+                    found.append(key)
         return found
 
+    def open_lifetime_s(self, key: str) -> float:
+        """Return for how long after its start the claim of an open record may end it; 0 if it has ended.
+
+        The retention time begins with the action's end, or when its claim can no longer end it.
+        """
+        record = self.records[key]
+        return record.lifetime_s if record.state == OPEN else 0.0
+
     # --- claims ------------------------------------------------------------------------------------------
 
     def judge_claim(self, claimed: IdempotencyRecord, limits: RecordLimits, now: float) -> Verdict:
--- a/tests/idempotency/test_record_store.py
+++ b/tests/idempotency/test_record_store.py
@@ -107,6 +107,20 @@
     assert f"{3:032x}" not in store.expired_keys(LIMITS, 1e9)
 
 
+# Guards against an action that runs twice: its record was removed while its claim could still end it.
+def test_an_open_record_is_kept_for_its_lifetime_and_the_retention_time() -> None:
+    limits = RecordLimits(retention_s=60.0)
+    store = RecordStore()
+    long_lived = replace(record(1, change_number=1), lifetime_s=602.0)
+    store.apply(long_lived, 0.0)
+    store.apply(record(2, change_number=2, state=DONE), 1.0)
+    assert store.expired_keys(limits, 62.0) == [f"{2:032x}"]  # and an older open one does not keep it
+    assert store.judge_claim(replace(long_lived, claim="d/2"), limits, 500.0).kind == IN_PROGRESS
+    assert store.judge_claim(replace(long_lived, claim="d/2"), limits, 650.0).kind == OUTCOME_UNKNOWN
+    assert f"{1:032x}" not in store.expired_keys(limits, 661.0)
+    assert f"{1:032x}" in store.expired_keys(limits, 663.0)
+
+
 def test_copies_that_differ_are_repaired_to_the_newer() -> None:
     chance = random.Random(5)
     for _ in range(60):
