Configuration: an unknown service beside a split is refused

What operators saw: a route with a valid weighted_split and a service_name that no service has was acknowledged; nothing is lost by it, but nothing invalid may be acknowledged. Cause: compile_split looks at one of the two. Change: the core's validation checks both; proxies do not, as they must apply what earlier releases acknowledged. Evidence: the new case of INVALID was taken before.

--- a/ivymux/routing_config/validation.py
+++ b/ivymux/routing_config/validation.py
@@ -25,9 +25,26 @@
 
 def parse_route_plan(text: bytes) -> RoutePlan:
     """Decode and compile a configuration's text.  Raises RoutingConfigError."""
-    plan = route_plan.parse_route_plan(text)
+    document = route_plan.decode_document(text)
+    plan = route_plan.compile_document(document)
+    check_unused_service_names(document)
     try:
         from_dict(route_plan.Document, msgspec.json.decode(text))
     except SerdeError as error:
         raise RoutingConfigError(f"the configuration: {' '.join(str(error).split())}") from None
     return plan
+
+
+def check_unused_service_names(document: route_plan.Document) -> None:
+    """Check the service names that routes give beside a split, which replaces them.
+
+    Proxies do not check them: they apply what earlier releases have acknowledged.  Raises
+    RoutingConfigError.
+    """
+    services = {entry.name for entry in document.service_table}
+    for number, route in enumerate(document.route_table):
+        if route.service_name is not None and route.service_name not in services:
+            raise RoutingConfigError(
+                f"route_table[{number}].service_name: service {route.service_name!r} is not in"
+                " service_table; leave it out, as weighted_split replaces it"
+            )
--- a/tests/routing_config/test_route_plan.py
+++ b/tests/routing_config/test_route_plan.py
@@ -8,6 +8,7 @@
 import pytest
 from syrupy.assertion import SnapshotAssertion
 
+from ivymux.routing_config import route_plan
 from ivymux.routing_config.route_plan import RoutingConfigError
 from ivymux.routing_config.validation import parse_route_plan
 
@@ -56,6 +57,7 @@
 # Changes that make the document invalid, by what is wrong.
 INVALID: dict[str, dict[str, Any]] = {
     "unknown service": {"route_table__1__service_name": "nobody"},
+    "unknown service beside a split": {"route_table__0__service_name": "nobody"},
     "route without a service": {"route_table__1__service_name": ...},
     "prefix without a slash": {"route_table__0__path_prefix": "a/"},
     "host and prefix twice": {"route_table__1__path_prefix": "/a/"},
@@ -91,6 +93,12 @@
     assert parse_route_plan(text).version == 7
 
 
+def test_a_proxy_applies_a_split_that_an_earlier_release_acknowledged() -> None:
+    text = encoded(route_table__0__service_name="nobody")
+    read = route_plan.parse_route_plan(text).find_route("minutes.example", "/a/9")
+    assert read is not None and read.choose_service(0.0) == "archive"
+
+
 def test_routes_keys_and_weighted_splits() -> None:
     plan = parse_route_plan(encoded())
     sign, read = plan.find_route("minutes.example", "/a/sign/9"), plan.find_route("minutes.example", "/a/9")
