Proxies: a reload drops no connection to the core

Cause: a reload passed the seeds as a list of core machines, and without a connection lists did not count, so every machine with over 60 failed connects was dropped. Evidence: the new test, with the former method's name, fails on the former code ([] is left of three machines). Why it works: a reload adds; only a connected core machine's list drops.

--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -238,7 +238,7 @@
     async def start(self) -> None:
         """Start serving.  Raises OSError if an address cannot be listened on."""
         await self.listener.start(Address(self.settings.ip, self.settings.proxy_port))
-        self.update_cores([address.host for address in self.settings.seed_addresses])
+        self.add_cores([address.host for address in self.settings.seed_addresses])
         await self.ready_server.start()
         await self.start_metrics_server()
         # Clients that connect before the first configuration wait in the kernel's accept queue.  After a loss
@@ -263,16 +263,18 @@
         if self.server.listening_socket is not None and not self.is_stopping:
             self.accept_task = self.loop.create_task(self.server.start())
 
-    def update_cores(self, cores: list[str]) -> None:
-        """Connect to new core machines, and drop those that have been unreachable for long."""
+    def add_cores(self, cores: list[str]) -> None:
+        """Connect to new core machines."""
         for ip in cores:
             if ip not in self.cores and len(self.cores) < MAX_CORE_MACHINES:
                 parse_address(f"{ip}:1")  # raises ConfigError, a ValueError
                 self.cores[ip] = CoreConnection(self, ip)
-        is_any_connected = any(core.is_connected for core in self.cores.values())
-        listed = set(cores) if is_any_connected else set()
+
+    def update_cores(self, cores: list[str]) -> None:
+        """Connect to the core machines that one of them lists; drop others, unreachable for long."""
+        self.add_cores(cores)
         for ip, core in list(self.cores.items()):
-            if core.connector.failed_attempts > MAX_FAILED_CONNECTS and ip not in listed:
+            if core.connector.failed_attempts > MAX_FAILED_CONNECTS and ip not in cores:
                 core.connector.close()
                 del self.cores[ip]
 
@@ -404,7 +406,7 @@
     def reload(self, settings: Settings) -> None:
         """Apply a changed settings file: new seed addresses are added to the known core machines."""
         self.settings = settings
-        self.update_cores([address.host for address in settings.seed_addresses])
+        self.add_cores([address.host for address in settings.seed_addresses])
 
     # --- shutdown ------------------------------------------------------------------------------------------
 
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -5,14 +5,18 @@
 import asyncio
 import contextlib
 import socket
+from pathlib import Path
 
 import pytest
 
 from ivymux.data_plane.frontend import Answer
 from ivymux.data_plane.limits import Address, Bounds
 from ivymux.data_plane.server import Server
+from ivymux.proxy.program import MAX_FAILED_CONNECTS, Proxy
 from ivymux.proxy.status_pages import READINESS, StatusPagesFrontend
 from ivymux.runtime.early_listener import find_client_address, keep_matching
+from ivymux.runtime.settings import load
+from ivymux.simulation.local_cluster import LocalCluster
 from ivymux.transport.connection import (
     FAST_RETRIES,
     MAX_FAST_RETRY_DELAY_S,
@@ -88,3 +92,25 @@
     delays = [reconnect_delay(failures) for failures in range(FAST_RETRIES + 5)]
     assert max(delays[:FAST_RETRIES]) == MAX_FAST_RETRY_DELAY_S and delays[-1] == MAX_RETRY_DELAY_S
     assert sum(delays[:FAST_RETRIES]) > 2.0  # a killed process is back, and listens, within that time
+
+
+# Guards against a proxy that stays without the core for good: it was without it for more than 60 connects,
+# and a settings file read then made it drop all its connections to the core.
+def test_a_proxy_that_is_without_the_core_keeps_its_connections_through_a_reload(tmp_path: Path) -> None:
+    async def test() -> None:
+        cluster = LocalCluster(tmp_path)
+        settings = load(cluster.write_settings(cluster.proxy_ips[0], False))
+        proxy = Proxy(settings)
+        proxy.add_cores(cluster.core_ips)
+        for core in proxy.cores.values():
+            core.connector.failed_attempts = MAX_FAILED_CONNECTS + 1
+        proxy.reload(settings)
+        assert list(proxy.cores) == cluster.core_ips
+        gone = cluster.core_ips[2]
+        proxy.update_cores(cluster.core_ips[:2])  # a core machine lists the present ones
+        assert gone not in proxy.cores and len(proxy.cores) == 2
+        for core in proxy.cores.values():
+            core.connector.close()
+        await cluster.close()
+
+    run(test())
