Answers: a backend's answer is passed on as it was given, or not at all

Cause: the policy replaced the status, and the headers stayed. Why it works: one place makes an answer of a backend's, from a result that has its status and headers, or neither.

--- a/ivymux/data_plane/answer_policy.py
+++ b/ivymux/data_plane/answer_policy.py
@@ -35,9 +35,9 @@
         """Whether an answer may be passed on to the client."""
         return True
 
-    def client_status(self, status: int) -> int:
-        """Return the status with which a backend's answer is passed on to the client."""
-        return status
+    def may_pass_on(self, status: int) -> bool:
+        """Whether a backend's answer may reach the client as it is; else the client gets a failure."""
+        return True
 
     def refusal_status(self, over_quota: bool, last_outcome: Outcome | None) -> int:
         """Return the status of a refusal: 429 if the customer is `over_quota` (RFC 6585, 4), else 503.
--- a/ivymux/data_plane/attempt.py
+++ b/ivymux/data_plane/attempt.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ivymux.data_plane.frontend import Answer
 from orchidhill.interface import Outcome
 
 if TYPE_CHECKING:
@@ -23,9 +24,13 @@
     report: tuple[float, ...] = ()  # the load report, in the order of the settings' columns
     body: bytes = b""
     content_type: bytes = b""
-    status: int = 0  # for the client, if the answer policy passes the backend's status on
+    status: int = 0  # of the backend, if its answer may be passed on
     headers: list[tuple[bytes, bytes]] | None = None  # likewise
 
+    def backend_answer(self) -> Answer:
+        """Return the backend's answer as it was given; statuses that are not passed on count as 200."""
+        return Answer(self.status or 200, self.body, self.content_type, headers=self.headers)
+
 
 class Attempt:
     """One transmission of a request to one backend; `on_done` is called exactly once, when it ends."""
--- a/ivymux/data_plane/backend_connection.py
+++ b/ivymux/data_plane/backend_connection.py
@@ -287,8 +287,8 @@
             b"".join(self.body),
             self.content_type,
         )
-        if self.policy.passes_all_statuses:
-            self.result.status, self.result.headers = self.policy.client_status(status), self.headers
+        if self.policy.passes_all_statuses and self.policy.may_pass_on(status):
+            self.result.status, self.result.headers = status, self.headers
         if self.result.outcome is Outcome.OK and not self.policy.is_valid(status, self.headers):
             self.result.outcome, self.result.status = Outcome.ERROR, 0
         self.is_reusable = self.parser.should_keep_alive() and self.is_framed and not self.had_mismatch
--- a/ivymux/data_plane/host.py
+++ b/ivymux/data_plane/host.py
@@ -318,8 +318,7 @@
         if not result.outcome.never_ran:
             request.may_have_run = True
         if result.outcome is Outcome.OK and not request.is_settled:
-            status = result.status or 200
-            self.settle(request, Answer(status, result.body, result.content_type, headers=result.headers))
+            self.settle(request, result.backend_answer())
         closed = request.is_settled
         self.post(
             i.Finished(
@@ -338,7 +337,7 @@
             self.refusal_log.record(action.why.value if isinstance(action, i.Refuse) else FAILED)
             last = request.last_result
             if last is not None and last.outcome is Outcome.ERROR and last.status:
-                answer = Answer(last.status, last.body, last.content_type, headers=last.headers)
+                answer = last.backend_answer()
             elif isinstance(action, i.Refuse):
                 outcome = last.outcome if last is not None and request.may_have_run else None
                 status = self.answer_policy.refusal_status(action.why is i.Why.QUOTA, outcome)
@@ -373,7 +372,7 @@
             return answer if answer.headers is not None and request.may_have_run else None
         if last is None or last.outcome not in (Outcome.OK, Outcome.ERROR) or not last.status:
             return None
-        return Answer(last.status, last.body, last.content_type, headers=last.headers)
+        return last.backend_answer()
 
     def set_timer(self, at: float, token: int) -> None:
         # The event loop counts whole milliseconds from a cached clock, so a timer may fire early.
--- a/ivymux/proxy/answer_policy.py
+++ b/ivymux/proxy/answer_policy.py
@@ -30,9 +30,9 @@
         names = {name for name, _ in headers}
         return SEAL_HEADER in names and REQUEST_ID_HEADER in names and b"content-encoding" not in names
 
-    def client_status(self, status: int) -> int:
-        """Replace a status that would promise more to the client than the backend knows."""
-        return 502 if status in NOT_RUN_STATUSES else status
+    def may_pass_on(self, status: int) -> bool:
+        """Whether a status tells the client no more than the backend knows."""
+        return status not in NOT_RUN_STATUSES
 
     def refusal_status(self, over_quota: bool, last_outcome: Outcome | None) -> int:
         if last_outcome is not None and not last_outcome.never_ran:
--- a/tests/system/test_path.py
+++ b/tests/system/test_path.py
@@ -153,6 +153,7 @@
                 assert (
                     response is not None and response.status_code == 502 and len(desk.executed) == before + 1
                 )
+                assert "server-seal" not in response.headers
 
     asyncio.run(scenario())
 
--- a/tests/test_surplus_bytes.py
+++ b/tests/test_surplus_bytes.py
@@ -142,3 +142,15 @@
         exchange = Exchange()
         result = exchange.receive(*parts)
         assert result is not None and (result.status, result.body) == (500, body) and exchange.reused
+
+
+# Guards against a failure that bears a backend's seal and another status than that backend gave.
+@pytest.mark.parametrize(
+    "status", ["503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"]
+)
+def test_a_status_that_is_not_passed_on_leaves_nothing_of_its_answer(status: str) -> None:
+    result = Exchange().receive(answer(status, "new"))
+    assert result is not None and result.outcome is Outcome.ERROR
+    assert (result.status, result.headers) == (0, None)
+    result = Exchange().receive(answer(status, "new", "Not-Executed: 1\r\n"))
+    assert result is not None and result.outcome is Outcome.FULL
