Registry: only departures wait until the fleet is known

Cause: refused every call of a backend until the registry knows the proxies; registrations and calls that change nothing promise nothing that a proxy could break.

--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -347,7 +347,7 @@
             )
         )
 
-    async def wait_until_acknowledged(self, change: int) -> bool:
+    async def wait_until_acknowledged(self, change: int, is_departure: bool) -> bool:
         """Wait until all connected proxies have acknowledged a change, at most ACK_TIMEOUT_S.
 
         Returns whether enough proxies have (see proxy_reachability.py).
@@ -361,7 +361,10 @@
         if waiters:
             await asyncio.wait(waiters, timeout=ACK_TIMEOUT_S)
         reached = [proxy.address for proxy in self.proxies.values() if proxy.acked_change >= change]
-        return self.reachability.is_sufficient(reached, time.monotonic())
+        now = time.monotonic()
+        if is_departure:
+            return self.reachability.may_confirm_departure(reached, now)
+        return self.reachability.is_sufficient(reached, now)
 
     def release_ack_waiters(self, proxy: ConnectedProxy) -> None:
         """Wake calls that wait for a change that the proxy has acknowledged."""
@@ -432,7 +435,8 @@
             self.broadcast_changes(before)
         record = self.backends.records[request.name]
         if has_changed or record.state == QUIESCING:  # the call may repeat one that was interrupted
-            is_reached = await self.wait_until_acknowledged(record.change_number)
+            is_departure = record.state == QUIESCING
+            is_reached = await self.wait_until_acknowledged(record.change_number, is_departure)
         else:
             connected = [proxy.address for proxy in self.proxies.values()]
             is_reached = self.reachability.is_sufficient(connected, time.monotonic())
@@ -447,7 +451,7 @@
         before = self.backends.last_change
         if self.backends.deregister(request.name, time.monotonic()):
             self.broadcast_changes(before)
-        if not await self.wait_until_acknowledged(self.backends.last_change):
+        if not await self.wait_until_acknowledged(self.backends.last_change, is_departure=True):
             return error_answer(503, NOT_REACHED)
         return Answer(200, b"{}", JSON)
 
--- a/ivymux/registry/proxy_reachability.py
+++ b/ivymux/registry/proxy_reachability.py
@@ -6,8 +6,10 @@
 The change itself is still passed on to the proxies that are connected.
 
 A registry that has just started knows no proxies, and cannot tell whether there are none.  Unless it is the
-system's first start, it acknowledges nothing before its machine has reached a majority of the core for
-SETTLE_S: the proxies in touch have connected by then.  While its machine is cut off, it forgets no proxy.
+system's first start, it acknowledges no departure before its machine has reached a majority of the core for
+SETTLE_S: the proxies in touch have connected by then.  Calls of backends that stay need no such promise;
+refusing them would make backends pause just when all have restarted.  While its machine is cut off, a
+registry forgets no proxy.
 """
 
 from __future__ import annotations
@@ -49,17 +51,19 @@
             self.disconnected_at[address] = now
 
     def is_sufficient(self, reached: Iterable[str], now: float) -> bool:
-        """Whether the `reached` proxies are at least half of all that have to be reached."""
+        """Whether the `reached` proxies are at least half of all that this registry knows."""
+        if self.has_contact is not False:
+            self.forget_disconnected(now)
+        return 2 * len(set(reached)) >= len(self.connections.keys() | self.disconnected_at.keys())
+
+    def may_confirm_departure(self, reached: Iterable[str], now: float) -> bool:
+        """Whether the `reached` proxies suffice for a promise that no proxy sends anything more."""
         if self.has_contact and now - self.contact_since >= SETTLE_S:
             self.knows_fleet = True
-        if not self.knows_fleet:
+        is_empty = not self.connections and not self.disconnected_at
+        if not self.knows_fleet or (is_empty and self.has_contact is False):
             return False
-        if self.has_contact is not False:
-            self.forget_disconnected(now)
-        known = self.connections.keys() | self.disconnected_at.keys()
-        if not known:
-            return self.has_contact is not False
-        return 2 * len(set(reached)) >= len(known)
+        return self.is_sufficient(reached, now)
 
     def forget_disconnected(self, now: float) -> None:
         """Drop the proxies that have been disconnected for RETENTION_S."""
