Data plane: the memory of unread answers is bounded

Cause: their number was limited, not the bytes; and each body was held once more until the garbage collector ran. Change: whole answers are counted, a quarter of the memory at most; the readers that need longest are closed and counted.

--- a/ivymux/data_plane/host.py
+++ b/ivymux/data_plane/host.py
@@ -364,6 +364,7 @@
             request.on_finished()
             if (claim := request.call.claim) is not None:
                 claim.finish(self.backend_answer(request), request.may_have_run)
+            request.answer = request.last_result = None  # their bodies are not kept until it is collected
 
     def backend_answer(self, request: OpenRequest) -> Answer | None:
         """Return the complete backend answer that ended a request, whether or not its client received it."""
--- a/ivymux/data_plane/limits.py
+++ b/ivymux/data_plane/limits.py
@@ -9,6 +9,7 @@
 # each of the two clients needs twice as many while its address changes.
 RESERVED_DESCRIPTORS = 29
 BODY_MEMORY_SHARE = 1 / 8  # of the process's memory, for request bodies
+ANSWER_MEMORY_SHARE = 1 / 4  # of the process's memory, for answers that clients have not read yet
 
 
 class ConfigError(ValueError):
@@ -29,13 +30,18 @@
     surplus_clients: int  # further client connections, whose requests are answered with a refusal
     max_backend_connections: int
     max_held_bytes: int  # of request bodies
+    max_held_answer_bytes: int = 1 << 62  # of answers that clients have not read yet
 
     @classmethod
     def from_limits(cls, sockets: int, memory_mb: float) -> Bounds:
         """Divide the configured number of sockets and the memory among clients and backends."""
         surplus = max(8, sockets // 16)
         left = sockets - RESERVED_DESCRIPTORS - surplus
-        return cls(left // 2, surplus, left - left // 2, int(memory_mb * BODY_MEMORY_SHARE * (1 << 20)))
+        memory_bytes = int(memory_mb * (1 << 20))
+        return cls(
+            left // 2, surplus, left - left // 2,
+            int(memory_bytes * BODY_MEMORY_SHARE), int(memory_bytes * ANSWER_MEMORY_SHARE),
+        )  # fmt: skip
 
 
 def parse_address(text: object) -> Address:
--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -8,7 +8,6 @@
 import time
 from collections import OrderedDict, deque
 from collections.abc import Iterator
-from dataclasses import dataclass
 from itertools import islice
 from typing import TYPE_CHECKING, cast
 
@@ -18,6 +17,7 @@
 from ivymux.data_plane.limits import LISTEN_BACKLOG, Address, Bounds
 from ivymux.data_plane.refusal_log import RefusalLog
 from ivymux.data_plane.refusals import GATEWAY
+from ivymux.data_plane.slow_readers import ReadProgress, slowest
 
 if TYPE_CHECKING:
     from ivymux.data_plane.host import Host, OpenRequest
@@ -67,20 +67,6 @@
                 call.on_finished()
 
 
-@dataclass(slots=True)
-class ReadProgress:
-    """How far a client with a full write buffer has come in reading its answers."""
-
-    at: float  # monotonic time at which it was last seen to have read something
-    unsent_bytes: int  # at that time
-
-    def update(self, now: float, unsent_bytes: int) -> None:
-        """Note how much is still unsent."""
-        if unsent_bytes < self.unsent_bytes:
-            self.at = now
-        self.unsent_bytes = unsent_bytes
-
-
 class ClientConnection(asyncio.Protocol):
     """One client connection with its parser and its pipelined requests."""
 
@@ -96,6 +82,7 @@
         self.request_started_at = 0.0  # when the first byte of the current request was received
         self.is_receiving = False  # whether a request is incomplete
         self.is_discarding = False  # whether further bytes are read but not parsed
+        self.answer_sizes: deque[int] = deque()  # bytes of the answers that are written, the last ones
         self.peer_address = ""
         self.has_sent_eof = False  # whether the client has closed its sending side
         self.stray_bytes = 0  # since the last complete request
@@ -290,7 +277,10 @@
             server_ends = self.server.is_stopping or self.server.closes_after_answer
             is_last = server_ends and not self.exchanges
             close = not exchange.keep_alive or is_last or answer.status == CLOSE_CONNECTION
-            self.transport.write(self.server.frontend.encode(answer, close, exchange.call))
+            data = self.server.frontend.encode(answer, close, exchange.call)
+            exchange.answer = None  # its body is not kept until the request is collected
+            self.note_written(len(data))
+            self.transport.write(data)
             if close:
                 self.end_sending()
                 return
@@ -304,14 +294,28 @@
         """The bytes of answers that wait for the client to read; 0 once all are with the kernel."""
         return self.transport.get_write_buffer_size() if self.transport is not None else 0
 
+    def note_written(self, size: int) -> None:
+        """Note that an answer of `size` bytes is written next."""
+        if not self.unsent_bytes:
+            self.answer_sizes.clear()
+        self.answer_sizes.append(size)
+
+    @property
+    def held_answer_bytes(self) -> int:
+        """The memory of answers that wait for the client; each is held whole until its last byte is sent."""
+        unsent_bytes, held_bytes = self.unsent_bytes, sum(self.answer_sizes)
+        while self.answer_sizes and held_bytes - self.answer_sizes[0] >= unsent_bytes:
+            held_bytes -= self.answer_sizes.popleft()
+        return held_bytes
+
     def pause_writing(self) -> None:
         """Read no further requests from a client that does not read its answers, to bound the buffer."""
         if self.transport is not None:
             self.transport.pause_reading()
-        slow_readers = self.server.slow_readers
-        slow_readers[self] = ReadProgress(time.monotonic(), self.unsent_bytes)
-        if len(slow_readers) > self.server.frontend.max_unread_clients:
-            next(iter(slow_readers)).abort()
+        self.server.slow_readers[self] = ReadProgress(
+            time.monotonic(), self.unsent_bytes, self.held_answer_bytes
+        )
+        self.server.limit_slow_readers()
 
     def resume_writing(self) -> None:
         self.server.slow_readers.pop(self, None)
@@ -362,6 +366,8 @@
         self.frontend, self.listen, self.host = frontend, listen, host
         self.max_clients, self.surplus_clients = bounds.max_clients, bounds.surplus_clients
         self.max_held_bytes = bounds.max_held_bytes  # of request bodies; requests beyond it are refused
+        self.max_held_answer_bytes = bounds.max_held_answer_bytes  # of answers that clients have not read yet
+        self.closed_slow_readers = 0  # since the start, to keep within that
         self.loop = asyncio.get_running_loop()
         self.clients: set[ClientConnection] = set()
         # Queues of connections, each in the order in which connections entered it.  A connection is in at
@@ -504,11 +510,21 @@
         self.close_stalled_readers()
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.close_overdue)
 
+    def limit_slow_readers(self) -> None:
+        """Close the slowest readers while their number, or the bytes that wait, exceed the limits."""
+        now = time.monotonic()
+        for client, progress in self.slow_readers.items():
+            progress.update(now, client.unsent_bytes, client.held_answer_bytes)
+        max_clients = self.frontend.max_unread_clients
+        for client in slowest(self.slow_readers, now, max_clients, self.max_held_answer_bytes):
+            self.closed_slow_readers += 1
+            client.abort()
+
     def close_stalled_readers(self) -> None:
         """Close connections whose client has read nothing of its answers for UNREAD_TIMEOUT_S."""
         now = time.monotonic()
         for client, progress in list(self.slow_readers.items()):
-            progress.update(now, client.unsent_bytes)
+            progress.update(now, client.unsent_bytes, client.held_answer_bytes)
             if now - progress.at > UNREAD_TIMEOUT_S:
                 client.abort()
 
--- a/ivymux/proxy/metrics.py
+++ b/ivymux/proxy/metrics.py
@@ -24,6 +24,8 @@
         "requests_open": host.unanswered_count,
         "requests_kept": len(host.requests),
         "clients": len(proxy.server.clients),
+        "held_answer_bytes": sum(client.held_answer_bytes for client in proxy.server.slow_readers),
+        "closed_slow_readers_total": proxy.server.closed_slow_readers,
         "backend_connections": host.upstream.connection_count,
         "oversized_messages_total": oversized_messages.count,
         "interrupted_writes_total": host.upstream.interrupted_writes,
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -9,11 +9,14 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from ivymux.data_plane import server as data_plane
 from ivymux.data_plane.frontend import Answer
 from ivymux.data_plane.limits import Address, Bounds
 from ivymux.data_plane.server import Server
+from ivymux.data_plane.slow_readers import ReadProgress, slowest
 from ivymux.proxy.status_pages import StatusPagesFrontend
 
 from .sockets import run, until
@@ -148,3 +151,49 @@
             reader.socket.close()
 
     run(test())
+
+
+# --- the limit on unread bytes -----------------------------------------------------------------------------
+
+
+def reader_progress(unsent_bytes: int, read_bytes: int, observed_s: float = 1.0) -> ReadProgress:
+    progress = ReadProgress(10.0 - observed_s, unsent_bytes + read_bytes, unsent_bytes + read_bytes)
+    progress.update(10.0, unsent_bytes, unsent_bytes)
+    return progress
+
+
+def test_the_readers_that_need_longest_are_closed_first() -> None:
+    readers = {
+        "nothing": reader_progress(100, 0), "slow": reader_progress(100, 10),
+        "fast": reader_progress(100, 1000), "new": reader_progress(300, 0, 0.0),
+    }  # fmt: skip
+    assert list(slowest(readers, 10.0, 10, 1000)) == []
+    assert list(slowest(readers, 10.0, 10, 500)) == ["nothing"]
+    assert list(slowest(readers, 10.0, 10, 400)) == ["nothing", "slow"]
+    assert list(slowest(readers, 10.0, 1, 1000)) == ["nothing", "slow", "fast"]
+
+
+@given(st.lists(st.tuples(st.integers(0, 100), st.integers(0, 100)), max_size=12), st.integers(0, 500))
+def test_what_remains_is_within_the_limits(drawn: list[tuple[int, int]], max_bytes: int) -> None:
+    readers = {number: reader_progress(*sizes) for number, sizes in enumerate(drawn)}
+    closed = set(slowest(readers, 10.0, 8, max_bytes))
+    remaining = [progress for number, progress in readers.items() if number not in closed]
+    assert len(remaining) <= 8 and sum(progress.held_bytes for progress in remaining) <= max_bytes
+
+
+# Guards against a proxy that outgrows its memory: the number of slow readers was limited, not their bytes.
+def test_the_bytes_that_wait_for_slow_readers_are_bounded() -> None:
+    async def test() -> None:
+        async with long_answers() as server:
+            server.max_held_answer_bytes = 2 * len(BODY) + 1000
+            readers = [SlowReader(server) for _ in range(6)]
+            for reader in readers:
+                await reader.ask(KEPT)
+                await reader.read(1000)
+                held_bytes = sum(client.held_answer_bytes for client in server.slow_readers)
+                assert held_bytes <= server.max_held_answer_bytes
+            assert server.closed_slow_readers >= 3 and len(server.slow_readers) >= 2
+            for reader in readers:
+                reader.socket.close()
+
+    run(test())
