Data plane: one answer to an offered upgrade; encodings that cannot be passed on are refused

Cause: the parser reports the upgrade behind the handled request, which was taken for malformed bytes; hop-by-hop headers are dropped whatever they say.

--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -146,16 +146,23 @@
         if self.is_discarding:
             self.limit_discarding()
             return
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.reject(BadRequest("no upgrades here"))
-        except httptools.HttpParserError as error:
-            cause = error.__context__
-            self.reject(cause if isinstance(cause, BadRequest) else BadRequest("malformed request"))
+        self.feed_parser(data)
         if self.stray_bytes > MAX_STRAY_BYTES and not self.is_receiving:
             self.reject(BadRequest("no request"))
 
+    def feed_parser(self, data: bytes) -> None:
+        """Parse bytes of requests; one that offers an upgrade is answered without it (RFC 9110, 7.8)."""
+        while data and not self.is_discarding:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                self.parser = httptools.HttpRequestParser(self)
+                data = data[upgrade.args[0] :]
+            except httptools.HttpParserError as error:
+                cause = error.__context__
+                self.reject(cause if isinstance(cause, BadRequest) else BadRequest("malformed request"))
+
     def limit_discarding(self) -> None:
         """Pause reading after `MAX_DISCARD_BYTES`.
 
@@ -192,7 +199,12 @@
 
     def on_headers_complete(self) -> None:
         self.has_headers = True
+        if self.parser.get_method() == b"CONNECT":
+            raise BadRequest("no tunnels here")
         for name, value in self.headers:
+            if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
+                # The body would reach a backend without the header that says how to decode it.
+                raise BadRequest("no transfer encoding but chunked", 501)
             if name == b"content-length" and int(value) > self.server.frontend.max_body_bytes:
                 raise BadRequest("body too large", 413)
             if (
