Data plane: a client that reads nothing of a short rest is closed

Cause: since a connection counts as idle only when its answer is sent, one whose client stopped reading before less than a write buffer was left stayed for ever: only full buffers were watched. Evidence: the new test meets its time-out before. Change: a connection that would be closed and has unsent bytes is watched from then on.

--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -324,11 +324,16 @@
         """Read no further requests from a client that does not read its answers, to bound the buffer."""
         if self.transport is not None:
             self.transport.pause_reading()
-        self.server.slow_readers[self] = ReadProgress(
-            time.monotonic(), self.unsent_bytes, self.held_answer_bytes
-        )
+        self.watch_reading()
         self.server.limit_slow_readers()
 
+    def watch_reading(self) -> None:
+        """Watch from now on whether the client reads its answers, unless it is watched already."""
+        if self not in self.server.slow_readers:
+            self.server.slow_readers[self] = ReadProgress(
+                time.monotonic(), self.unsent_bytes, self.held_answer_bytes
+            )
+
     def resume_writing(self) -> None:
         self.server.slow_readers.pop(self, None)
         self.resume_reading()
@@ -516,6 +521,7 @@
         for queue, timeout in ((self.idle_clients, max_idle_s), (self.closing_clients, LINGER_S)):
             for client in list(self.pop_overdue(queue, timeout)):
                 if client.unsent_bytes:
+                    client.watch_reading()
                     client.move_to_queue(queue)
                 else:
                     client.abort()
@@ -537,7 +543,9 @@
         now = time.monotonic()
         for client, progress in list(self.slow_readers.items()):
             progress.update(now, client.unsent_bytes, client.held_answer_bytes)
-            if now - progress.at > UNREAD_TIMEOUT_S:
+            if not progress.unsent_bytes:
+                del self.slow_readers[client]
+            elif now - progress.at > UNREAD_TIMEOUT_S:
                 client.abort()
 
     def has_unsent_answers(self) -> bool:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -153,6 +153,28 @@
     run(test())
 
 
+# Guards against connections that stay for ever: what is unread may be less than fills a write buffer.
+def test_a_client_that_reads_nothing_of_a_short_rest_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(data_plane, "UNREAD_TIMEOUT_S", SHORT_S)
+    monkeypatch.setattr(data_plane, "LINGER_S", SHORT_S)
+
+    async def test() -> None:
+        async with long_answers() as server:
+            reader = SlowReader(server)
+            await reader.ask(b"")
+            await until(lambda: server.clients)
+            (client,) = server.clients
+            assert client.transport is not None
+            client.transport.set_write_buffer_limits(high=2 * len(BODY))  # it never counts as full
+            await asyncio.get_running_loop().sock_sendall(reader.socket, CLOSING)
+            await reader.read(1000)
+            await until(lambda: not server.clients)
+            assert not server.slow_readers
+            reader.socket.close()
+
+    run(test())
+
+
 # --- the limit on unread bytes -----------------------------------------------------------------------------
 
 
