Tests: repairs whose primary is lost in the middle, and backups of the build before

Change: a primary that is lost at the second message of a repair, and members that apply whole ranges only and do not compare again by themselves.

--- a/tests/config_store/test_record_repair.py
+++ b/tests/config_store/test_record_repair.py
@@ -11,9 +11,14 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec import structs
 
+from ivymux.config_store.actions import Send
 from ivymux.config_store.calls import ClaimAction, EndAction, encode
+from ivymux.config_store.idempotency import RecordReplication
+from ivymux.config_store.messages import RecordRangeDigests, RecordRepair
 from ivymux.config_store.record_repair import INTERVAL_BYTES, RepairItem, plan_repair, resumption_key
+from ivymux.config_store.replica import Replica
 from ivymux.data_plane.limits import Address
 from ivymux.idempotency.record_store import (
     DONE,
@@ -143,6 +148,57 @@
     assert cluster.run_until_acknowledged(50, 3.0)
 
 
+def test_the_primary_is_lost_in_the_middle_of_a_repair() -> None:
+    cluster = started_cluster(14, 5)
+    fill(cluster, 200)
+    primary, backup = primary_and_backup(cluster)
+    cluster.kill(backup)
+    repairs = itertools.count()
+    send = cluster.send
+
+    def kill_at_the_second_repair(source: str, target: str, message: object) -> None:
+        if type(message).__name__ == "RecordRepair" and next(repairs) == 1:
+            cluster.schedule(0.0, lambda: cluster.kill(source))
+        send(source, target, message)  # type: ignore[arg-type]
+
+    cluster.send = kill_at_the_second_repair  # type: ignore[method-assign]
+    assert cluster.run_until(lambda: cluster.machines[primary].replica is None, 5.0)
+    cluster.start(backup)  # the only whole copy is on its disk and on the lost primary's
+    assert cluster.run_until(lambda: len(live_copies(cluster)) == 2, 10.0)
+    for ip in primary_and_backup(cluster):
+        assert len(cluster.machines[ip].disk.durable.idempotency_records) == 200
+
+
+class FormerBackup(RecordReplication):
+    """Applies a repair as the build before did: whole ranges only, and no further comparison by itself."""
+
+    def on_record_repair(self, source: str, message: RecordRepair) -> None:
+        former = structs.replace(message, intervals=())
+        before = len(self.replica.actions)
+        super().on_record_repair(source, former)
+        self.replica.actions[before:] = [
+            action
+            for action in self.replica.actions[before:]
+            if not (isinstance(action, Send) and isinstance(action.message, RecordRangeDigests))
+        ]
+
+
+class FormerReplica(Replica):
+    """A member of the build before, as far as repairs go."""
+
+    record_replication_class = FormerBackup
+
+
+def test_a_backup_of_the_build_before_is_repaired_in_several_comparisons() -> None:
+    cluster = started_cluster(15, 4, FormerReplica)
+    fill(cluster, 200)
+    primary, _ = primary_and_backup(cluster)
+    cluster.kill(primary)
+    assert cluster.run_until(lambda: len(live_copies(cluster)) == 2, 20.0)
+    for ip in primary_and_backup(cluster):
+        assert len(cluster.machines[ip].disk.durable.idempotency_records) == 200
+
+
 def live_copies(cluster: CoreCluster) -> list[str]:
     """Return the running machines among the primary and the backup of the epoch in force."""
     if not cluster.primaries():
