Registry: the fleet stays known when the core is cut

Cause: whether contact has lasted long enough was looked at only when a backend left. A registry that had been in contact for an hour, without a departure, refused departures once the core was cut into halves. Found by reading the change again. Evidence: the new test fails on the code before. Change: the end of the contact looks at it too.

--- a/ivymux/registry/proxy_reachability.py
+++ b/ivymux/registry/proxy_reachability.py
@@ -33,11 +33,17 @@
 
     def update_contact(self, has_contact: bool, now: float) -> None:
         """Note whether the machine reaches a majority of the core, as its config store reports it."""
+        self.note_settled(now)
         if has_contact and not self.has_contact:
             self.contact_since = now
             self.disconnected_at = dict.fromkeys(self.disconnected_at, now)
         self.has_contact = has_contact
 
+    def note_settled(self, now: float) -> None:
+        """Note that all proxies in touch have connected, once the contact has lasted for SETTLE_S."""
+        if self.has_contact and now - self.contact_since >= SETTLE_S:
+            self.knows_fleet = True
+
     def on_connect(self, address: str) -> None:
         self.connections[address] = self.connections.get(address, 0) + 1
         self.disconnected_at.pop(address, None)
@@ -58,8 +64,7 @@
 
     def may_confirm_departure(self, reached: Iterable[str], now: float) -> bool:
         """Whether the `reached` proxies suffice for a promise that no proxy sends anything more."""
-        if self.has_contact and now - self.contact_since >= SETTLE_S:
-            self.knows_fleet = True
+        self.note_settled(now)
         is_empty = not self.connections and not self.disconnected_at
         if not self.knows_fleet or (is_empty and self.has_contact is False):
             return False
--- a/tests/registry/test_proxy_reachability.py
+++ b/tests/registry/test_proxy_reachability.py
@@ -64,6 +64,16 @@
     assert proxies.may_confirm_departure(ALL, 10.0)
 
 
+# Guards against a registry that forgets, as the core is cut into halves, that it knew its proxies.
+def test_a_registry_knows_its_proxies_though_no_backend_has_left_before() -> None:
+    proxies = ProxyReachability(knows_fleet=False)
+    proxies.update_contact(True, 1.0)
+    for address in ALL:
+        proxies.on_connect(address)
+    proxies.update_contact(False, 60.0)
+    assert proxies.may_confirm_departure(ALL, 61.0)
+
+
 def test_a_registry_that_is_cut_off_forgets_no_proxy() -> None:
     proxies = all_connected()
     proxies.update_contact(True, 0.0)
