Upstream: superseded backends are forgotten with the complete list

Cause: a complete list removed backends that have a pool; one whose address another had taken has none, and its entry stayed. Evidence: by reading; the test asks for an empty table. Also: the two tests that begin alike share their beginning.

--- a/ivymux/data_plane/host.py
+++ b/ivymux/data_plane/host.py
@@ -202,8 +202,7 @@
     def update_members(self, members: i.Members, addresses: dict[int, Address]) -> None:
         """Apply a list of backends, or a change of it, to the connections; then post it."""
         if members.listing is not i.Listing.DELTA:
-            for backend in [b for b in self.upstream.pools if b not in addresses]:
-                self.upstream.remove_backend(backend)
+            self.upstream.remove_all_but(addresses)
         for entry in members.entries:
             if entry.state is State.GONE:
                 self.upstream.remove_backend(entry.backend)
--- a/ivymux/data_plane/upstream.py
+++ b/ivymux/data_plane/upstream.py
@@ -6,7 +6,7 @@
 import re
 import time
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from ivymux.data_plane.answer_policy import PLATFORM_POLICY, AnswerPolicy
 from ivymux.data_plane.attempt import Attempt, Result
@@ -149,6 +149,11 @@
         self.pools[backend] = ConnectionPool(self, backend, address, started)
         self.backend_by_address[address] = backend
 
+    def remove_all_but(self, backends: Container[int]) -> None:
+        """Forget the backends that a complete list does not name."""
+        for backend in [b for b in (*self.pools, *self.superseded) if b not in backends]:
+            self.remove_backend(backend)
+
     def remove_backend(self, backend: int) -> None:
         """Forget a backend and close its idle connections; its attempts in flight go on."""
         self.superseded.pop(backend, None)
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+import contextlib
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import pytest
@@ -37,6 +38,18 @@
     return http_answer(body=message.headers["request-id"].encode())
 
 
+@contextlib.asynccontextmanager
+async def upstream_of_one_backend() -> AsyncIterator[tuple[FakeBackend, Upstream]]:
+    """Run a gateway with one backend, named FIRST, until its connections are set up."""
+    backend = FakeBackend(echo)
+    async with (
+        listening(backend.handle) as endpoint,
+        platform_gateway(endpoint, react=send_to_first) as (gateway, _),
+    ):
+        await until(lambda: FIRST in gateway.host.upstream.pools)
+        yield backend, gateway.host.upstream
+
+
 def in_turn() -> Callable[[Any], list[i.Action]]:
     """Return a `react` that sends one request at a time: the next once the last attempt has finished."""
     waiting: list[int] = []
@@ -196,13 +209,7 @@
 # Guards against the review's case 6 where a list of the platform or of an inventory names both.
 def test_late_news_of_an_old_backend_leaves_the_pool_of_the_new_one() -> None:
     async def test() -> None:
-        backend = FakeBackend(echo)
-        async with (
-            listening(backend.handle) as endpoint,
-            platform_gateway(endpoint, react=send_to_first) as (gateway, _),
-        ):
-            upstream = gateway.host.upstream
-            await until(lambda: FIRST in upstream.pools)
+        async with upstream_of_one_backend() as (backend, upstream):
             pool = upstream.pools[FIRST]
             upstream.update_backend(9, pool.address, 0.0)
             upstream.update_backend(FIRST, pool.address, pool.started)
@@ -214,19 +221,16 @@
             upstream.remove_backend(FIRST)
             upstream.update_backend(9, pool.address, 0.0)
             assert list(upstream.pools) == [9]
+            upstream.update_backend(FIRST, pool.address, pool.started + 2.0)
+            upstream.remove_all_but({FIRST})  # a complete list without the one whose address was taken
+            assert list(upstream.pools) == [FIRST] and not upstream.superseded
 
     run(test())
 
 
 def test_an_attempt_given_up_while_connecting_is_never_written() -> None:
     async def test() -> None:
-        backend = FakeBackend(echo)
-        async with (
-            listening(backend.handle) as endpoint,
-            platform_gateway(endpoint, react=send_to_first) as (gateway, _),
-        ):
-            upstream = gateway.host.upstream
-            await until(lambda: FIRST in upstream.pools)
+        async with upstream_of_one_backend() as (backend, upstream):
             outcomes: list[Outcome] = []
             attempt = upstream.start_attempt(
                 FIRST, b"GET / HTTP/1.1\r\n\r\n", 5.0, lambda r: outcomes.append(r.outcome)
