Idempotency: a key has one spelling

Cause: intervals of keys rely on the order of lower-case digits, and a record took others; such a record would have ended every repair. No process of ours sends one. Change: refused where the record is made. Evidence: the new case was taken before.

--- a/ivymux/idempotency/record_store.py
+++ b/ivymux/idempotency/record_store.py
@@ -68,7 +68,8 @@
     def __post_init__(self) -> None:
         if self.state not in STATES or len(self.key) != KEY_DIGITS or len(self.answer) > MAX_ANSWER_CHARS:
             raise IdempotencyRecordError("idempotency record with a value out of bounds")
-        int(self.key, 16)
+        if f"{int(self.key, 16):0{KEY_DIGITS}x}" != self.key:  # intervals of keys rely on their order
+            raise IdempotencyRecordError("idempotency record with a key that is not in lower-case digits")
 
     @property
     def is_setting(self) -> bool:
--- a/tests/idempotency/test_record_store.py
+++ b/tests/idempotency/test_record_store.py
@@ -149,6 +149,7 @@
     for position, wrong in (
         (0, "short"),
         (0, "z" * 32),
+        (0, "A" * 32),
         (6, "gone"),
         (7, None),
         (8, "x" * (MAX_ANSWER_CHARS + 1)),
