Names and tests: the terms of the field, and what was written twice

Cause: two names of the withdrawn wording; tests that shared their beginnings and a transport. No check is changed.

--- a/ivymux/config_store/isolation.py
+++ b/ivymux/config_store/isolation.py
@@ -17,7 +17,7 @@
         self.isolated_since: float | None = None  # None while a majority is reached
 
     def update(self, now: float, epoch: EpochRecord | None, identity: str, reached: Collection[str]) -> None:
-        """Note at `now` which peers are connected.
+        """Note at `now` which peers are reached.
 
         `epoch`: the newest that this machine knows, None where it knows none; `identity`: of this machine;
         `reached`: the addresses of the peers.
--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -203,7 +203,7 @@
         addresses = {address_of(member) for member in epoch.voters()} if epoch is not None else set()
         connected = {address for address, peer in self.peers.items() if peer.is_connected}
         now = time.monotonic()
-        self.isolation.update(now, epoch, self.replica.identity, connected & self.heard_addresses(now))
+        self.isolation.update(now, epoch, self.replica.identity, connected & self.responsive_addresses(now))
         self.update_contact(epoch is not None and self.isolation.isolated_since is None)
         addresses |= connected | {self.settings.ip}
         cores = sorted(addresses)
@@ -222,18 +222,18 @@
                 peer.close()
                 del self.peers[address]
 
-    def heard_addresses(self, now: float) -> set[str]:
+    def responsive_addresses(self, now: float) -> set[str]:
         """Return the addresses of core machines that have sent anything within CONTACT_TIMEOUT_S."""
         since = now - CONTACT_TIMEOUT_S
         accepted = {
             connection.peer
             for connection in self.listener.connections
-            if isinstance(connection.peer, str) and connection.has_heard(since)
+            if isinstance(connection.peer, str) and connection.has_received_since(since)
         }
         opened = {
             address
             for address, peer in self.peers.items()
-            if peer.connection is not None and peer.connection.has_heard(since)
+            if peer.connection is not None and peer.connection.has_received_since(since)
         }
         return accepted | opened
 
--- a/ivymux/transport/connection.py
+++ b/ivymux/transport/connection.py
@@ -115,7 +115,7 @@
             if not self.is_connected:
                 return
 
-    def has_heard(self, since: float) -> bool:
+    def has_received_since(self, since: float) -> bool:
         """Whether the connection is open and something has arrived on it after the steady time `since`."""
         return self.is_connected and self.has_received and self.last_received_at > since
 
--- a/tests/config_store/test_record_repair.py
+++ b/tests/config_store/test_record_repair.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import msgspec
@@ -16,7 +17,7 @@
 from ivymux.config_store.actions import Send
 from ivymux.config_store.calls import ClaimAction, EndAction, encode
 from ivymux.config_store.idempotency import RecordReplication
-from ivymux.config_store.messages import RecordRangeDigests, RecordRepair
+from ivymux.config_store.messages import RecordRangeDigests, RecordRepair, ReplicaMessage
 from ivymux.config_store.record_repair import INTERVAL_BYTES, RepairItem, plan_repair, resumption_key
 from ivymux.config_store.replica import Replica
 from ivymux.data_plane.limits import Address
@@ -129,20 +130,26 @@
     assert copies[0].keys() == copies[1].keys() and len(copies[0]) == count
 
 
-def test_the_new_backup_is_lost_in_the_middle_of_its_repair() -> None:
-    cluster = started_cluster(12, 5)
-    fill(cluster, 200)
-    _, backup = primary_and_backup(cluster)
-    cluster.kill(backup)
+def lose_in_a_repair(cluster: CoreCluster, choose: Callable[[str, str], str]) -> Iterator[int]:
+    """Kill a machine, chosen of source and target, at a repair's second message; count the messages."""
     repairs = itertools.count()
     send = cluster.send
 
-    def kill_at_the_second_repair(source: str, target: str, message: object) -> None:
-        if type(message).__name__ == "RecordRepair" and next(repairs) == 1:
-            cluster.schedule(0.0, lambda: cluster.kill(target))
-        send(source, target, message)  # type: ignore[arg-type]
+    def kill_at_the_second_repair(source: str, target: str, message: ReplicaMessage) -> None:
+        if isinstance(message, RecordRepair) and next(repairs) == 1:
+            cluster.schedule(0.0, lambda: cluster.kill(choose(source, target)))
+        send(source, target, message)
 
     cluster.send = kill_at_the_second_repair  # type: ignore[method-assign]
+    return repairs
+
+
+def test_the_new_backup_is_lost_in_the_middle_of_its_repair() -> None:
+    cluster = started_cluster(12, 5)
+    fill(cluster, 200)
+    _, backup = primary_and_backup(cluster)
+    cluster.kill(backup)
+    repairs = lose_in_a_repair(cluster, lambda _, target: target)
     assert cluster.run_until(lambda: next(repairs) > 3 and len(live_copies(cluster)) == 2, 10.0)
     assert cluster.put(cluster.primaries()[0], 50, "later")
     assert cluster.run_until_acknowledged(50, 3.0)
@@ -153,15 +160,7 @@
     fill(cluster, 200)
     primary, backup = primary_and_backup(cluster)
     cluster.kill(backup)
-    repairs = itertools.count()
-    send = cluster.send
-
-    def kill_at_the_second_repair(source: str, target: str, message: object) -> None:
-        if type(message).__name__ == "RecordRepair" and next(repairs) == 1:
-            cluster.schedule(0.0, lambda: cluster.kill(source))
-        send(source, target, message)  # type: ignore[arg-type]
-
-    cluster.send = kill_at_the_second_repair  # type: ignore[method-assign]
+    lose_in_a_repair(cluster, lambda source, _: source)
     assert cluster.run_until(lambda: cluster.machines[primary].replica is None, 5.0)
     cluster.start(backup)  # the only whole copy is on its disk and on the lost primary's
     assert cluster.run_until(lambda: len(live_copies(cluster)) == 2, 10.0)
--- a/tests/config_store/test_replacements.py
+++ b/tests/config_store/test_replacements.py
@@ -65,9 +65,8 @@
         self.settle_epoch(attempt.number)
 
 
-def play_halves_of_three(seed: int, make_replica: ReplicaFactory = Replica) -> None:
-    """Cut a core of three members as a new machine replaces one of them; both halves are sent changes."""
-    cluster = CutAtAcceptance(seed, 4, make_replica)
+def replace_a_frozen_member(cluster: CutAtAcceptance | CutAsTheBackupIsAsked) -> None:
+    """Freeze the third of three members, start a machine in its place, and wake it once the core is cut."""
     start_members(cluster, 3)
     primary, witness = cluster.primaries()[0], machine_with_role(cluster, WITNESS)
     cluster.freeze(witness)
@@ -77,6 +76,12 @@
     cluster.start("m3")
     assert cluster.run_until(lambda: bool(cluster.cut_links), 2.0)
     cluster.thaw(witness)
+
+
+def play_halves_of_three(seed: int, make_replica: ReplicaFactory = Replica) -> None:
+    """Cut a core of three members as a new machine replaces one of them; both halves are sent changes."""
+    cluster = CutAtAcceptance(seed, 4, make_replica)
+    replace_a_frozen_member(cluster)
     for version in (2, 3, 4, 5):
         for ip in cluster.machines:
             cluster.put(ip, version, f"{version} by {ip}")
@@ -132,15 +137,7 @@
 @pytest.mark.parametrize("seed", range(5))
 def test_a_half_with_a_member_that_was_frozen_elects_a_primary_during_the_cut(seed: int) -> None:
     cluster = CutAsTheBackupIsAsked(seed, 4)
-    start_members(cluster, 3)
-    primary, witness = cluster.primaries()[0], machine_with_role(cluster, WITNESS)
-    cluster.freeze(witness)
-    cluster.run_for(1.1)
-    cluster.near = frozenset((primary, "m3"))
-    cluster.wipe("m3")
-    cluster.start("m3")
-    assert cluster.run_until(lambda: bool(cluster.cut_links), 2.0)
-    cluster.thaw(witness)
+    replace_a_frozen_member(cluster)
     far = set(cluster.machines) - cluster.near
     assert cluster.run_until(lambda: bool(far & set(cluster.primaries())), 3.0)
 
--- a/tests/transport/test_batching.py
+++ b/tests/transport/test_batching.py
@@ -14,6 +14,8 @@
 from ivymux.transport.connection import Connection, TransportError
 from ivymux.transport.frames import MAX_FRAME_BYTES, FrameDecoder, Message
 
+from .test_replaced import SilentTransport
+
 TOO_LONG = "x" * (MAX_FRAME_BYTES + 1)
 
 
@@ -26,7 +28,7 @@
     assert all(batches)
 
 
-class RecordingTransport(asyncio.Transport):
+class RecordingTransport(SilentTransport):
     """A transport that keeps what is written."""
 
     def __init__(self) -> None:
@@ -36,15 +38,6 @@
     def write(self, data: bytes | bytearray | memoryview) -> None:
         self.messages += self.decoder.feed(bytes(data))
 
-    def is_closing(self) -> bool:
-        return False
-
-    def get_write_buffer_size(self) -> int:
-        return 0
-
-    def abort(self) -> None:
-        pass
-
 
 # Guards against a sender that repeats a message above the transport's bound for ever, as an invalid message
 # of its peer.
