--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -209,7 +209,7 @@
 # Guards against the review's case 6 where a list of the platform or of an inventory names both.
 def test_late_news_of_an_old_backend_leaves_the_pool_of_the_new_one() -> None:
     async def test() -> None:
-        async with upstream_of_one_backend() as (backend, upstream):
+        async with upstream_of_one_backend() as (_, upstream):
             pool = upstream.pools[FIRST]
             upstream.update_backend(9, pool.address, 0.0)
             upstream.update_backend(FIRST, pool.address, pool.started)
