Models: a part of a cut core that may elect a primary has to have one

Change: ElectablePartMonitor observes every part whose machines reach one another: its running voters with usable disks are majorities of all memberships that decide, and one holds the newest state. Evidence: a replica that never takes over is found. The frozen member's fault makes its half unable to elect; it stays with its own test.

--- a/ivymux/simulation/replacement_scenarios.py
+++ b/ivymux/simulation/replacement_scenarios.py
@@ -1,8 +1,9 @@
 """Members of the core that are replaced while the core is cut into two parts, over simulated machines.
 
 A run depends on its seed and size alone.  One member fails, spare machines start in its place, and the core
-is cut at a step of an election, at a commit, or at a random moment.  The checks are those of CoreCluster and
-ActionCallers; after the cut there has to be a primary, and what was acknowledged has to be read.
+is cut at a step of an election, at a commit, or at a random moment.  The checks are those of CoreCluster,
+ActionCallers and ElectablePartMonitor; after the cut there has to be a primary, and what was acknowledged has
+to be read.
 """
 
 from __future__ import annotations
@@ -15,6 +16,7 @@
 from ivymux.config_store.messages import ReplicaMessage
 from ivymux.config_store.replica import Replica
 from ivymux.simulation.core_cluster import EXIT_GRACE_S, USUAL_COMMIT_S, CoreCluster, Disk, Machine
+from ivymux.simulation.electable_parts import ElectablePartMonitor
 from ivymux.simulation.fault_schedules import ActionCallers, ReplicaFactory
 from ivymux.simulation.loss_scenarios import (
     RECOVERY_TIMEOUT_S,
@@ -85,6 +87,7 @@
         self.spares = [f"m{n}" for n in range(count, count + SPARES)]
         self.cluster.removed_machines |= set(self.spares)  # until they are started
         self.callers = ActionCallers(self.cluster, self.rng)
+        self.monitor = ElectablePartMonitor(self.cluster)
         self.version = 1
         self.primary = ""  # before the faults
         self.cut_ends_at = 0.0
@@ -122,6 +125,7 @@
         for ip in rng.sample(list(cluster.machines), 3):
             cluster.put(ip, self.version, f"{self.version} by {ip}")
         cluster.read_all()
+        self.monitor.observe()
 
     def start_spare(self, spare: str) -> None:
         """Start a machine with an empty disk."""
--- a/tests/config_store/test_replacements.py
+++ b/tests/config_store/test_replacements.py
@@ -19,6 +19,7 @@
 from ivymux.config_store.replica import Replica
 from ivymux.config_store.replica_state import ElectionAttempt
 from ivymux.simulation.core_cluster import CoreCluster, GuaranteeViolation
+from ivymux.simulation.electable_parts import ElectablePartMonitor
 from ivymux.simulation.fault_schedules import ReplicaFactory
 from ivymux.simulation.loss_scenarios import WITNESS, machine_with_role, start_members
 from ivymux.simulation.replacement_scenarios import replacement_during_a_cut
@@ -142,6 +143,43 @@
     assert cluster.run_until(lambda: bool(far & set(cluster.primaries())), 3.0)
 
 
+class NeverTakesOver(Replica):
+    """Makes no epoch where another machine was the primary."""
+
+    def may_begin_attempt(self) -> bool:
+        return self.is_founder() and super().may_begin_attempt()
+
+
+def observe_during_a_cut(make_replica: ReplicaFactory) -> None:
+    """Cut a core as a frozen member has the new record in its queue, and observe the cut."""
+    cluster = CutAsTheBackupIsAsked(0, 4, make_replica)
+    replace_a_frozen_member(cluster)
+    monitor = ElectablePartMonitor(cluster)
+    for _ in range(100):
+        cluster.run_for(0.05)
+        monitor.observe()
+
+
+# Guards against checks that overlook a half of the core that stays without a primary.
+def test_the_monitor_detects_a_half_that_could_elect_a_primary_and_does_not() -> None:
+    observe_during_a_cut(Replica)
+    with pytest.raises(GuaranteeViolation, match="no primary"):
+        observe_during_a_cut(NeverTakesOver)
+
+
+def test_the_monitor_expects_no_primary_of_machines_that_follow_one_beyond_a_cut() -> None:
+    cluster = CoreCluster(5, 3)
+    start_members(cluster, 3)
+    cluster.cut_links.add((machine_with_role(cluster, WITNESS), cluster.primaries()[0]))
+    monitor = ElectablePartMonitor(cluster)
+    for _ in range(100):
+        cluster.run_for(0.05)
+        monitor.observe()
+    assert not monitor.parts()
+    cluster.cut_links.clear()
+    assert monitor.parts() == [frozenset(cluster.machines)]
+
+
 def test_the_runs_detect_an_election_by_the_newest_members_alone(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(elections, "deciding_memberships", newest_members_only)
     with pytest.raises(GuaranteeViolation):
