Registry: lists for proxies are cut by bytes, and a backend's id has a bound

An id came from the path and had no bound, and texts have up to 1 KiB: a list of 8 MiB is not sent, and a proxy that connects learns of no backend.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -38,6 +38,7 @@
 from ivymux.proxy.membership_view import MembershipView
 from ivymux.proxy.name_tables import NameTables
 from ivymux.registry.backend_records import BackendRecords
+from ivymux.registry.proxy_updates import change_message, split_changes
 from ivymux.routing_config.route_plan import MAX_TEXT_BYTES, RoutePlan, parse_route_plan
 from ivymux.simulation.loss_scenarios import start_cluster
 from ivymux.transport.frames import encode_frame
@@ -148,7 +149,7 @@
             records.heartbeat(f"i-{number:08x}", msgspec.json.decode(body), 1.0)
 
     _, heartbeats_cpu_s = measure_cpu(receive_heartbeats)
-    snapshot, snapshot_cpu_s = measure_cpu(lambda: encode_frame({"k": "here", "i": records.encode_all(1.0)}))
+    snapshot, snapshot_cpu_s = measure_cpu(lambda: encode_changes(records))
     _, expiry_cpu_s = measure_cpu(lambda: records.expire(1.5))
     return {
         "processor time of all beats once, without HTTP": (1000 * heartbeats_cpu_s, "ms"),
@@ -159,9 +160,15 @@
     }
 
 
+def encode_changes(records: BackendRecords) -> bytes:
+    """Return all backends as a registry sends them to a proxy that connects."""
+    batches = split_changes(0, records.last_change, records.encode_all(1.0))
+    return b"".join(encode_frame(change_message(batch)) for batch in batches)
+
+
 def proxy_backends(size: int) -> Values:
     """A proxy that applies a snapshot of all backends."""
-    entries = build_backend_records(size).encode_all(1.0)
+    entries = [entry.fields for entry in build_backend_records(size).encode_all(1.0)]
 
     def apply_snapshot() -> MembershipView:
         view = MembershipView()
--- a/ivymux/registry/backend_records.py
+++ b/ivymux/registry/backend_records.py
@@ -11,6 +11,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from ivymux.registry.proxy_updates import NumberedEntry
+
 UP, QUIESCING, LOST, OFF = "up", "quiescing", "lost", "off"
 STATES = {"in_service": UP, "quiescing": QUIESCING}  # by `oper_state`
 MAX_RECORDS = 20_000
@@ -55,6 +57,7 @@
 
     def heartbeat(self, id: str, body: Any, now: float) -> bool:
         """Apply a backend's heartbeat; return whether proxies have to know of it.  Raises CallError."""
+        check_id(id)
         service, address, zone = (
             required_text(body, name) for name in ("service_name", "address", "zone_name")
         )
@@ -94,8 +97,9 @@
     def deregister(self, id: str, now: float) -> bool:
         """End an id for good, even an unknown one; return whether that changes anything.
 
-        Raises CallError if there are too many records.
+        Raises CallError for an id that is too long, and if there are too many records.
         """
+        check_id(id)
         record = self.records.get(id)
         if record is None:
             if len(self.records) >= MAX_RECORDS:
@@ -129,14 +133,15 @@
         record.change_number = self.last_change
         self.change_log.append((self.last_change, record.id))
 
-    def encode_record(self, record: BackendRecord, now: float) -> list[Any]:
+    def encode_record(self, record: BackendRecord, now: float) -> NumberedEntry:
         """One record as messages to proxies carry it."""
-        return [
+        fields = [
             record.id, record.service, record.address, record.zone, record.capacity, record.state,
             record.call_seq, round(max(0.0, record.warm_until - now), 2),
         ]  # fmt: skip
+        return NumberedEntry(record.change_number, fields)
 
-    def changes_since(self, number: int, now: float) -> list[list[Any]] | None:
+    def changes_since(self, number: int, now: float) -> list[NumberedEntry] | None:
         """Encode the records changed after change `number`; None if the log doesn't reach back that far."""
         if (
             number > self.last_change
@@ -147,16 +152,22 @@
         ids = dict.fromkeys(id for change, id in self.change_log if change > number)
         return [self.encode_record(self.records[id], now) for id in ids if id in self.records]
 
-    def encode_all(self, now: float) -> list[list[Any]]:
+    def encode_all(self, now: float) -> list[NumberedEntry]:
         """All records as messages to proxies carry them."""
         return [self.encode_record(record, now) for record in self.records.values()]
 
 
+def check_id(id: str) -> None:
+    """Check the id of a backend, which messages to all proxies carry.  Raises CallError."""
+    if len(id) > MAX_TEXT_CHARS:
+        raise CallError(f"the backend's id in the path: write a text of 1 to {MAX_TEXT_CHARS} signs")
+
+
 def required_text(body: Any, name: str) -> str:
     """A field of a heartbeat that must be a text.  Raises CallError."""
     value = body.get(name) if isinstance(body, dict) else None
     if not isinstance(value, str) or not value or len(value) > MAX_TEXT_CHARS:
-        raise CallError(f"{name}: write a text of 1 to 256 signs")
+        raise CallError(f"{name}: write a text of 1 to {MAX_TEXT_CHARS} signs")
     return value
 
 
--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -27,6 +27,12 @@
 from ivymux.registry.backend_records import QUIESCING, UP, BackendRecords, CallError
 from ivymux.registry.outlier_detection import OutlierDetector
 from ivymux.registry.proxy_reachability import ProxyReachability
+from ivymux.registry.proxy_updates import (
+    change_message,
+    proxy_change_messages,
+    snapshot_messages,
+    split_changes,
+)
 from ivymux.registry.trial_endpoints import TrialEndpoints
 from ivymux.routing_config.route_plan import MAX_TEXT_BYTES, RoutingConfigError
 from ivymux.runtime.log import Log
@@ -272,21 +278,20 @@
             connection, str(message["id"]), str(message["ip"]), int(message["port"]), str(message["zone"]),
             now - age_s,
         )  # fmt: skip
-        changes = None
+        known_change, changes = int(message["n"]), None
         if message["run"] == self.incarnation_id:
-            changes = self.backends.changes_since(int(message["n"]), now)
+            changes = self.backends.changes_since(known_change, now)
         self.proxies[connection] = proxy
         self.reachability.on_connect(proxy.address)
-        connection.send(
-            {
-                "k": kinds.SNAPSHOT, "run": self.incarnation_id, "n": self.backends.last_change,
-                "whole": changes is None,
-                "i": self.backends.encode_all(now) if changes is None else changes,
-                "doors": [p.encode(now) for p in self.proxies.values()],
-                "cores": self.cores, "t": self.unix_offset + now, "v": self.config_version,
-                "zone": self.settings.zone,
-            }
-        )  # fmt: skip
+        fields = {
+            "run": self.incarnation_id, "whole": changes is None, "cores": self.cores,
+            "t": self.unix_offset + now, "v": self.config_version, "zone": self.settings.zone,
+        }  # fmt: skip
+        entries = self.backends.encode_all(now) if changes is None else changes
+        batches = split_changes(known_change, self.backends.last_change, entries)
+        proxies = [p.encode(now) for p in self.proxies.values()]
+        for part in snapshot_messages(fields, batches, proxies):
+            connection.send(part)
         for name, (version, text) in self.replicated_settings.items():
             connection.send(setting_message(name, version, text))
         self.announce(proxy, True)
@@ -325,11 +330,12 @@
         announced, self.unannounced = self.unannounced, {}
         joined = [proxy.encode(self.announced_at) for proxy, has_joined in announced.values() if has_joined]
         left = [id for id, (_, has_joined) in announced.items() if not has_joined]
-        data = encode_frame({"k": kinds.PROXY_CHANGES, "on": joined, "off": left})
-        for proxy in self.proxies.values():
-            # A proxy that is announced alone knows of itself already.
-            if len(announced) > 1 or proxy.id not in announced:
-                proxy.connection.write(data)
+        for message in proxy_change_messages(joined, left):
+            data = encode_frame(message)
+            for proxy in self.proxies.values():
+                # A proxy that is announced alone knows of itself already.
+                if len(announced) > 1 or proxy.id not in announced:
+                    proxy.connection.write(data)
 
     # --- acknowledgements of proxies -----------------------------------------------------------------------
 
@@ -341,11 +347,8 @@
     def broadcast_changes(self, since: int) -> None:
         """Send the changes of backends after the change number `since` to all proxies."""
         changes = self.backends.changes_since(since, time.monotonic()) or []
-        self.broadcast(
-            encode_frame(
-                {"k": kinds.BACKEND_CHANGES, "f": since, "n": self.backends.last_change, "i": changes}
-            )
-        )
+        for batch in split_changes(since, self.backends.last_change, changes):
+            self.broadcast(encode_frame(change_message(batch)))
 
     async def wait_until_acknowledged(self, change: int, is_departure: bool) -> bool:
         """Wait until all connected proxies have acknowledged a change, at most ACK_TIMEOUT_S.
@@ -449,7 +452,11 @@
     async def delete_backend(self, request: HttpRequest) -> Answer:
         """End a backend's id for good."""
         before = self.backends.last_change
-        if self.backends.deregister(request.name, time.monotonic()):
+        try:
+            has_changed = self.backends.deregister(request.name, time.monotonic())
+        except CallError as error:
+            return error_answer(400, str(error))
+        if has_changed:
             self.broadcast_changes(before)
         if not await self.wait_until_acknowledged(self.backends.last_change, is_departure=True):
             return error_answer(503, NOT_REACHED)
--- a/tests/registry/test_backend_records.py
+++ b/tests/registry/test_backend_records.py
@@ -52,7 +52,7 @@
     backends.heartbeat("i-1", heartbeat(1), 0.0)
     backends.heartbeat("i-2", heartbeat(1, address="10.0.0.8:8080"), 0.0)
     backends.heartbeat("i-1", heartbeat(2, "quiescing"), 1.0)
-    assert [record[0] for record in backends.changes_since(1, 1.0) or []] == ["i-2", "i-1"]
+    assert [entry.fields[0] for entry in backends.changes_since(1, 1.0) or []] == ["i-2", "i-1"]
     assert backends.changes_since(3, 1.0) == [] and backends.changes_since(4, 1.0) is None
     assert len(backends.encode_all(1.0)) == 2
     for n in range(5000):
@@ -72,3 +72,13 @@
     with pytest.raises(CallError, match=next(iter(changes))):
         backends.heartbeat("i-1", heartbeat(1, **changes), 0.0)
     assert not backends.records
+
+
+# Guards against entries without a bound, of which a few hundred did not fit into a message.
+def test_an_id_that_is_too_long_is_refused() -> None:
+    backends = BackendRecords(3.5)
+    with pytest.raises(CallError, match="256"):
+        backends.heartbeat("i" * 257, heartbeat(1), 0.0)
+    with pytest.raises(CallError, match="256"):
+        backends.deregister("i" * 257, 0.0)
+    assert backends.heartbeat("i" * 256, heartbeat(1), 0.0)
