Elections: a member that has promised a number to another candidate refuses its record

Cause: such a request to accept an epoch was dropped; the candidate took the silence for a slow disk and waited 10 s. What callers see: no primary, 503 from all core machines though they reach one another. Change: the member refuses, as for promises; a candidate whose number is shared gives it up where no vote comes, in this phase too.

--- a/ivymux/config_store/elections.py
+++ b/ivymux/config_store/elections.py
@@ -128,14 +128,12 @@
             self.choose_epoch(attempt)
             if self.attempt is not attempt or attempt.epoch_record is not None:
                 return
-            max_wait_s = RETRY_INTERVAL_S * (1 + self.attempt_rank())
-            if attempt.refused_by and self.now - attempt.last_progress_at > max_wait_s:
-                # Another candidate has this number too, and the members that could decide are silent.
-                self.abandon_attempt(0.0)
-                return
         elif self.is_stalled(attempt, attempt.epoch_record):
             self.abandon_attempt(STALL_PAUSE_S * min(MAX_STALL_FACTOR, self.failed_attempts))
             return
+        if self.lacks_votes(attempt):
+            self.abandon_attempt(0.0)
+            return
         if self.now < attempt.next_request_at:
             return
         if attempt.epoch_record is None:
@@ -153,6 +151,21 @@
         lacks_progress = self.now - attempt.last_progress_at > PROGRESS_TIMEOUT_S
         return lacks_progress or self.now - silent_since > BACKUP_TIMEOUT_S
 
+    def lacks_votes(self, attempt: ElectionAttempt) -> bool:
+        """Whether another candidate has the attempt's number too, and the other members do not decide.
+
+        The members that have promised the number to the other candidate vote for a higher number only.
+        """
+        if not attempt.refused_by:
+            return False
+        max_wait_s = RETRY_INTERVAL_S
+        if attempt.epoch_record is not None:
+            if attempt.backups_without_state():
+                return False
+            max_wait_s = BACKUP_TIMEOUT_S  # members may still be writing the record to a slow disk
+        max_wait_s += RETRY_INTERVAL_S * self.attempt_rank()
+        return self.now - attempt.last_progress_at > max_wait_s
+
     def abandon_attempt(self, pause: float) -> None:
         """End the attempt; the next may start after `pause` seconds."""
         self.attempt = None
@@ -418,11 +431,9 @@
     def on_accept_request(self, source: str, message: AcceptRequest) -> None:
         """Store a candidate's epoch record, unless a promise forbids it."""
         record = message.epoch_record
-        if record.number < self.promised:
+        if record.number < self.promised or self.has_promised_other(record):
             self.send_refusal(source)
             return
-        if record.number == self.promised and record.primary != self.promised_to:
-            return
         if record.number > self.promised:
             self.promise(record.number, record.primary)
         self.defer_to_attempt(again=True, progresses=True)
@@ -433,6 +444,10 @@
         self.learn_epoch(record)
         self.send(source, Accepted(self.identity, record.number))
 
+    def has_promised_other(self, record: EpochRecord) -> bool:
+        """Whether this machine has promised a record's number to another candidate."""
+        return record.number == self.promised and record.primary != self.promised_to
+
     def on_accepted(self, source: str, message: Accepted) -> None:
         attempt = self.attempt
         if attempt is not None and message.epoch == attempt.number and attempt.epoch_record is not None:
--- a/tests/config_store/test_replacements.py
+++ b/tests/config_store/test_replacements.py
@@ -13,8 +13,9 @@
 from hypothesis import strategies as st
 
 from ivymux.config_store import elections, messages
+from ivymux.config_store.actions import Send
 from ivymux.config_store.membership import are_majorities, deciding_memberships, newest_record
-from ivymux.config_store.messages import AcceptRequest, ReplicaMessage
+from ivymux.config_store.messages import AcceptRequest, PromiseRequest, Refusal, ReplicaMessage
 from ivymux.config_store.records import EpochRecord, Membership, address_of
 from ivymux.config_store.replica import Replica
 from ivymux.config_store.replica_state import ElectionAttempt
@@ -38,6 +39,34 @@
     replacement_during_a_cut(seed, count)
 
 
+# Seeds and sizes of runs in which a core that was whole again had no primary for more than 3 s.
+WITHOUT_PRIMARY_BEFORE = ((5002234, 4), (5001530, 5), (5000817, 7))
+
+
+# Guards against two candidates with one number: the members that had promised it to one of them left the
+# other's requests to accept its epoch without an answer, and it waited for a slow disk for 10 s.
+@pytest.mark.parametrize(("seed", "count"), WITHOUT_PRIMARY_BEFORE)
+def test_a_run_that_once_had_no_primary_for_long_has_one(seed: int, count: int) -> None:
+    replacement_during_a_cut(seed, count)
+
+
+@pytest.mark.parametrize("last", ["accept", "promise"])
+def test_a_member_that_promised_a_number_to_another_candidate_refuses_the_record(last: str) -> None:
+    cluster = CoreCluster(6, 3)
+    start_members(cluster, 3)
+    witness = cluster.machines[machine_with_role(cluster, WITNESS)].replica
+    assert witness is not None and witness.known_epoch is not None
+    epoch, number = witness.known_epoch, witness.known_epoch.number + 1
+    chosen, other = epoch.primary, epoch.backup
+    witness.handle(cluster.now, address_of(chosen), PromiseRequest(chosen, number, epoch))
+    record = EpochRecord(number, other, chosen, epoch.members)
+    request = AcceptRequest(other, record) if last == "accept" else PromiseRequest(other, number, epoch)
+    actions = witness.handle(cluster.now, address_of(other), request)
+    sent = [action.message for action in actions if isinstance(action, Send)]
+    assert [type(message) for message in sent] == [Refusal]
+    assert witness.known_epoch == epoch
+
+
 @pytest.mark.parametrize("count", [3, 4, 5, 7, 12])
 def test_a_member_is_replaced_while_the_core_is_cut(count: int) -> None:
     for seed in range(5000, 5040):
