Programs: settings that change while a program starts are taken

Cause: SIGHUP is ignored until the event loop handles it, and the file's fingerprint was taken after the start: settings that changed after they were read, and before that, were taken for those in force. Change: the fingerprint is taken before the file is read, and compared at once when the program serves. Open: the interpreter's first 0.02 s, in which nothing can ignore SIGHUP.

--- a/ivymux/runtime/program.py
+++ b/ivymux/runtime/program.py
@@ -38,10 +38,14 @@
     flags.DEFINE_bool("check", False, "Check the settings file and exit.", flag_values=flag_values)
 
 
-async def serve(create: Callable[[Settings], Program], settings: Settings, path: Path) -> None:
+async def serve(
+    create: Callable[[Settings], Program], settings: Settings, path: Path, fingerprint: object
+) -> None:
     """Run a program until SIGTERM or SIGINT.  Raises ConfigError if it can't listen.
 
-    Settings are reloaded on SIGHUP, and when the file at `path` changes.
+    Settings are reloaded on SIGHUP, and when the file at `path` changes.  `fingerprint`: of the file, taken
+    before `settings` were read from it, so that no change in between is missed; SIGHUP is ignored until the
+    event loop handles it.
     """
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
@@ -63,14 +67,14 @@
     loop.add_signal_handler(signal.SIGHUP, reload)
 
     async def watch_settings() -> None:
-        previous = file_fingerprint(path)
+        previous = fingerprint
         while not stopping.is_set():
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(stopping.wait(), SETTINGS_POLL_INTERVAL_S)
             current = file_fingerprint(path)
             if current != previous:
                 previous = current
                 reload()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(stopping.wait(), SETTINGS_POLL_INTERVAL_S)
 
     try:
         await program.start()
@@ -108,12 +112,13 @@
         return logs.fail(f"{error}; the flags are --settings FILE and --check")
     try:
         path = settings_path(values.settings)
+        fingerprint = file_fingerprint(path)
         settings = load(path)
         if values.check:
             print(f"{path}: valid")
             return 0
         logs.start()
-        uvloop.run(serve(program_factory(role, early), settings, path))
+        uvloop.run(serve(program_factory(role, early), settings, path, fingerprint))
     except ConfigError as error:
         return logs.fail(error)
     return 0
--- /dev/null
+++ b/tests/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what all programs of the system share."""
