--- a/tests/config_store/test_record_repair.py
+++ b/tests/config_store/test_record_repair.py
@@ -15,12 +15,13 @@
 from msgspec import structs
 
 from ivymux.config_store.actions import Send
-from ivymux.config_store.calls import ClaimAction, EndAction, encode
+from ivymux.config_store.calls import ClaimAction, EndAction, PutSetting, encode
 from ivymux.config_store.idempotency import RecordReplication
 from ivymux.config_store.messages import RecordRangeDigests, RecordRepair, ReplicaMessage
 from ivymux.config_store.record_repair import INTERVAL_BYTES, RepairItem, plan_repair, resumption_key
 from ivymux.config_store.replica import Replica
 from ivymux.data_plane.limits import Address
+from ivymux.idempotency import CONVERSATIONS
 from ivymux.idempotency.record_store import (
     DONE,
     KEY_DIGITS,
@@ -168,6 +169,25 @@
         assert len(cluster.machines[ip].disk.durable.idempotency_records) == 200
 
 
+def test_answers_longer_than_new_limits_are_repaired_and_kept() -> None:
+    cluster = started_cluster(16, 4)
+    fill(cluster, 140)
+    settings = {
+        "settings_version": 1, "kept_for": "15m", "most_per_tenant": 10000, "most_answer_bytes": 1024,
+    }  # fmt: skip
+    assert call_primary(cluster, PutSetting(CONVERSATIONS, 1, json.dumps(settings)))["ok"]
+    primary, _ = primary_and_backup(cluster)
+    cluster.kill(primary)
+    assert cluster.run_until(lambda: len(live_copies(cluster)) == 2, 6.0)
+    for ip in primary_and_backup(cluster):
+        replica = cluster.machines[ip].replica
+        assert replica is not None
+        assert replica.record_replication.limits.max_answer_chars == 1024
+        assert len(cluster.machines[ip].disk.durable.idempotency_records) == 141  # and the settings
+    verdict = call_primary(cluster, ClaimAction(f"{139:02x}{139:030x}", "t", "c/139", "p", "b", 4.0))
+    assert len(verdict["answer"]) == ANSWER_CHARS
+
+
 class FormerBackup(RecordReplication):
     """Applies a repair as the build before did: whole ranges only, and no further comparison by itself."""
 
