Data plane: a module for one client connection

Change: ClientConnection and Exchange are client_connection.py, moved as they were; server.py accepts connections and limits them.

--- /dev/null
+++ b/ivymux/data_plane/client_connection.py
@@ -0,0 +1,358 @@
+"""One HTTP/1.1 client connection: parses requests, writes answers in the order of the requests."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import OrderedDict, deque
+from typing import TYPE_CHECKING, cast
+
+import httptools
+
+from ivymux.data_plane.frontend import CLOSE_CONNECTION, Answer, BadRequest, Call
+from ivymux.data_plane.slow_readers import ReadProgress
+
+if TYPE_CHECKING:
+    from ivymux.data_plane.host import OpenRequest
+    from ivymux.data_plane.server import Server
+
+MAX_STRAY_BYTES = 1024  # received outside of requests, such as empty lines
+MAX_PIPELINED = 4  # unanswered requests on one connection
+MAX_DISCARD_BYTES = 1 << 20  # read from a refused client before reading pauses
+DISCARD_PAUSE_S = 0.01
+
+log = logging.getLogger(__name__)
+
+
+class Exchange:
+    """One request on a client connection and its answer, which is written after all earlier answers."""
+
+    __slots__ = ("answer", "call", "client", "held_bytes", "keep_alive", "request")
+
+    def __init__(self, client: ClientConnection, keep_alive: bool) -> None:
+        self.client, self.keep_alive = client, keep_alive
+        self.answer: Answer | None = None
+        self.request: OpenRequest | None = None
+        self.call: Call | None = None
+        self.held_bytes = 0
+
+    def reply(self, answer: Answer) -> None:
+        self.answer = answer
+        self.client.write_answers()
+
+    def release(self) -> None:
+        """Free what the request held; called once it is answered and has no attempts in flight."""
+        server = self.client.server
+        server.held_bytes -= self.held_bytes
+        self.held_bytes = 0
+        if (call := self.call) is not None:
+            server.open_keys.discard(call.unique_key)
+            if call.on_finished is not None:
+                call.on_finished()
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client connection with its parser and its pipelined requests."""
+
+    exchange_type: type[Exchange] = Exchange
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.parser = httptools.HttpRequestParser(self)
+        self.exchanges: deque[Exchange] = deque()  # whose answers are not written yet, in request order
+        self.queue: OrderedDict[ClientConnection, None] | None = None  # of `Server`, ordered by `queued_at`
+        self.queued_at = 0.0
+        self.request_started_at = 0.0  # when the first byte of the current request was received
+        self.is_receiving = False  # whether a request is incomplete
+        self.is_discarding = False  # whether further bytes are read but not parsed
+        self.answer_sizes: deque[int] = deque()  # bytes of the answers that are written, the last ones
+        self.peer_address = ""
+        self.has_sent_eof = False  # whether the client has closed its sending side
+        self.stray_bytes = 0  # since the last complete request
+        self.held_bytes = 0  # of the body that is being received
+        self.reset_request()
+
+    def reset_request(self) -> None:
+        self.url = b""
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.has_headers = False
+        self.head_bytes = 0
+        self.body: list[bytes] = []
+
+    def move_to_queue(self, queue: OrderedDict[ClientConnection, None] | None) -> None:
+        """Leave the current queue and append the connection to another one, if any."""
+        if self.queue is not None:
+            self.queue.pop(self, None)
+        self.queue = queue
+        if queue is not None:
+            queue[self] = None
+            self.queued_at = time.monotonic()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)  # uvloop's transports are not subclasses of it
+        self.transport = transport
+        name = transport.get_extra_info("peername")
+        self.peer_address = name[0] if name else ""
+        self.move_to_queue(self.server.new_clients)
+        self.server.add_client(self)
+
+    def eof_received(self) -> bool:
+        """Keep a half-closed connection open if requests on it are still unanswered."""
+        if not (self.server.frontend.allows_half_close and self.exchanges):
+            return False
+        self.is_discarding = self.has_sent_eof = True
+        self.is_receiving = False
+        self.release_body()
+        self.exchanges[-1].keep_alive = False
+        return True
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.transport = None
+        self.server.slow_readers.pop(self, None)
+        self.move_to_queue(None)
+        self.server.clients.discard(self)
+        self.release_body()
+        unanswered, self.exchanges = self.exchanges, deque()
+        for exchange in unanswered:
+            if exchange.request is not None:
+                exchange.request.host.on_client_left(exchange.request)
+
+    def release_body(self) -> None:
+        """Drop the body that is being received, and stop counting its bytes."""
+        self.server.held_bytes -= self.held_bytes
+        self.held_bytes, self.body = 0, []
+
+    # --- reading -----------------------------------------------------------------------------------
+
+    def data_received(self, data: bytes) -> None:
+        self.stray_bytes += len(data)
+        if self.is_discarding:
+            self.limit_discarding()
+            return
+        self.feed_parser(data)
+        if self.stray_bytes > MAX_STRAY_BYTES and not self.is_receiving:
+            self.reject(BadRequest("no request"))
+
+    def feed_parser(self, data: bytes) -> None:
+        """Parse bytes of requests; one that offers an upgrade is answered without it (RFC 9110, 7.8)."""
+        while data and not self.is_discarding:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                self.parser = httptools.HttpRequestParser(self)
+                data = data[upgrade.args[0] :]
+            except httptools.HttpParserError as error:
+                cause = error.__context__
+                self.reject(cause if isinstance(cause, BadRequest) else BadRequest("malformed request"))
+
+    def limit_discarding(self) -> None:
+        """Pause reading after `MAX_DISCARD_BYTES`.
+
+        Bytes after a rejected request are read, as unread ones make the kernel send a reset that could
+        overtake the answer; the pauses bound the effort.
+        """
+        if self.stray_bytes > MAX_DISCARD_BYTES and self.transport is not None:
+            self.stray_bytes = 0
+            self.transport.pause_reading()
+            self.server.loop.call_later(DISCARD_PAUSE_S, self.resume_reading)
+
+    def on_message_begin(self) -> None:
+        if self.is_discarding:
+            raise BadRequest("nothing more is read here")
+        self.reset_request()
+        self.request_started_at, self.is_receiving = time.monotonic(), True
+        if self.queue is self.server.idle_clients:
+            self.move_to_queue(self.server.receiving_clients)
+
+    def count_head_bytes(self, size: int) -> None:
+        """Raise BadRequest if the request line and headers are too large."""
+        self.head_bytes += size
+        if self.head_bytes > self.server.max_head_bytes:
+            raise BadRequest("header too large", self.server.frontend.header_too_large_status)
+
+    def on_url(self, url: bytes) -> None:
+        self.url += url
+        self.count_head_bytes(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.count_head_bytes(len(name) + len(value) + 4)
+        if not self.has_headers:  # trailers are dropped: they must not replace a missing header
+            self.headers.append((name.lower(), value))
+
+    def on_headers_complete(self) -> None:
+        self.has_headers = True
+        if self.parser.get_method() == b"CONNECT":
+            raise BadRequest("no tunnels here")
+        for name, value in self.headers:
+            if name == b"transfer-encoding" and value.strip().lower() != b"chunked":
+                # The body would reach a backend without the header that says how to decode it.
+                raise BadRequest("no transfer encoding but chunked", 501)
+            if name == b"content-length" and int(value) > self.server.frontend.max_body_bytes:
+                raise BadRequest("body too large", 413)
+            if (
+                name == b"expect"
+                and value.lower() == b"100-continue"
+                and self.transport
+                and not self.exchanges
+            ):
+                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        self.held_bytes += len(body)
+        self.server.held_bytes += len(body)
+        if self.held_bytes > self.server.frontend.max_body_bytes:
+            raise BadRequest("body too large", 413)
+        if self.server.held_bytes > self.server.max_held_bytes:
+            raise BadRequest("too much is held", 503)  # nothing has been executed
+        self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        self.is_receiving, self.stray_bytes = False, 0
+        if len(self.exchanges) >= MAX_PIPELINED:
+            # One read may hold hundreds of requests, and each answer of up to 64 KiB waits for its turn.
+            raise BadRequest("too many requests at once", 503)
+        self.move_to_queue(None)
+        exchange = self.exchange_type(self, self.parser.should_keep_alive())
+        self.exchanges.append(exchange)
+        try:
+            self.handle_request(exchange)
+        except BadRequest as error:
+            exchange.keep_alive = exchange.keep_alive and not self.server.frontend.closes_after_refusal
+            exchange.reply(self.server.refusal(error))
+        except Exception:
+            log.exception("a request could not be handled")
+            if exchange.answer is None:
+                exchange.reply(Answer(502))
+        self.release_body()
+
+    def handle_request(self, exchange: Exchange) -> None:
+        """Answer a complete request or pass it to the host.  Raises BadRequest."""
+        server = self.server
+        if (answer := server.frontend.answer_locally(self.url)) is not None:
+            exchange.reply(answer)
+            return
+        if len(server.clients) > server.max_clients:
+            exchange.keep_alive = False
+            exchange.reply(server.refusal(BadRequest("too many connections", 503)))
+            return
+        call = server.frontend.accept(
+            self.parser.get_method(),
+            self.url,
+            self.headers,
+            self.body,
+            self.request_started_at,
+            self.peer_address,
+        )
+        if isinstance(call, Answer):
+            exchange.reply(call)
+            return
+        if call.unique_key:
+            if call.unique_key in server.open_keys:
+                raise BadRequest("this Request-Id is open", 409)
+            server.open_keys.add(call.unique_key)
+        self.submit(exchange, call)
+
+    def submit(self, exchange: Exchange, call: Call) -> None:
+        """Pass an accepted request to the host; its body is then counted by the exchange."""
+        exchange.call = call
+        exchange.held_bytes, self.held_bytes = self.held_bytes, 0
+        host = self.server.host
+        assert host is not None
+        exchange.request = host.submit(call, exchange.reply, exchange.release)
+
+    # --- writing -----------------------------------------------------------------------------------
+
+    def write_answers(self) -> None:
+        """Write all answers that are due, in the order of their requests."""
+        while self.exchanges and (answer := self.exchanges[0].answer) is not None:
+            exchange = self.exchanges.popleft()
+            if self.transport is None or self.transport.is_closing():
+                continue
+            server_ends = self.server.is_stopping or self.server.closes_after_answer
+            is_last = server_ends and not self.exchanges
+            close = not exchange.keep_alive or is_last or answer.status == CLOSE_CONNECTION
+            data = self.server.frontend.encode(answer, close, exchange.call)
+            exchange.answer = None  # its body is not kept until the request is collected
+            self.note_written(len(data))
+            self.transport.write(data)
+            if close:
+                self.end_sending()
+                return
+        if not self.exchanges and self.queue is None:
+            self.move_to_queue(
+                self.server.receiving_clients if self.is_receiving else self.server.idle_clients
+            )
+
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of answers that wait for the client to read; 0 once all are with the kernel."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
+    def note_written(self, size: int) -> None:
+        """Note that an answer of `size` bytes is written next."""
+        if not self.unsent_bytes:
+            self.answer_sizes.clear()
+        self.answer_sizes.append(size)
+
+    @property
+    def held_answer_bytes(self) -> int:
+        """The memory of answers that wait for the client; each is held whole until its last byte is sent."""
+        unsent_bytes, held_bytes = self.unsent_bytes, sum(self.answer_sizes)
+        while self.answer_sizes and held_bytes - self.answer_sizes[0] >= unsent_bytes:
+            held_bytes -= self.answer_sizes.popleft()
+        return held_bytes
+
+    def pause_writing(self) -> None:
+        """Read no further requests from a client that does not read its answers, to bound the buffer."""
+        if self.transport is not None:
+            self.transport.pause_reading()
+        self.watch_reading()
+        self.server.limit_slow_readers()
+
+    def watch_reading(self) -> None:
+        """Watch from now on whether the client reads its answers, unless it is watched already."""
+        if self not in self.server.slow_readers:
+            self.server.slow_readers[self] = ReadProgress(
+                time.monotonic(), self.unsent_bytes, self.held_answer_bytes
+            )
+
+    def resume_writing(self) -> None:
+        self.server.slow_readers.pop(self, None)
+        self.resume_reading()
+
+    def resume_reading(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
+    def reject(self, error: BadRequest) -> None:
+        """Refuse bytes that can't be parsed as a request, after the answers still due, and close."""
+        if not self.is_discarding:
+            self.is_discarding, self.is_receiving = True, False
+            self.release_body()
+            if self.exchanges:
+                self.move_to_queue(None)  # the requests before this answer have their own deadlines
+            exchange = Exchange(self, keep_alive=False)
+            self.exchanges.append(exchange)
+            exchange.reply(self.server.refusal(error))
+
+    def end_sending(self) -> None:
+        """Close the sending side; keep reading for up to `server.LINGER_S`.
+
+        Unread bytes would make the kernel send a reset, which could overtake the last answer.
+        """
+        self.is_discarding = True
+        if self.transport is not None:
+            self.transport.close() if self.has_sent_eof else self.transport.write_eof()
+            self.move_to_queue(self.server.closing_clients)
+            for exchange in self.exchanges:
+                if exchange.request is not None:  # pipelined after the last answered request
+                    exchange.request.host.on_client_left(exchange.request)
+            self.exchanges.clear()
+
+    def abort(self) -> None:
+        self.move_to_queue(None)
+        if self.transport is not None:
+            self.transport.abort()
--- a/ivymux/hosting/server.py
+++ b/ivymux/hosting/server.py
@@ -6,10 +6,11 @@
 import time
 from collections.abc import Callable
 
+from ivymux.data_plane.client_connection import ClientConnection, Exchange
 from ivymux.data_plane.frontend import Answer, BadRequest, Call, Headers
 from ivymux.data_plane.limits import Address, Bounds
 from ivymux.data_plane.refusals import GATEWAY
-from ivymux.data_plane.server import ClientConnection, Exchange, Server
+from ivymux.data_plane.server import Server
 from ivymux.hosting.hosted_tenant import HostedTenant
 from ivymux.service.callers import Caller
 from ivymux.service.frontend import READINESS_PATH, HttpFrontend, encode_answer, refusal_answer
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -11,7 +11,7 @@
 import pytest
 
 from ivymux.data_plane import server
-from ivymux.data_plane.server import MAX_DISCARD_BYTES
+from ivymux.data_plane.client_connection import MAX_DISCARD_BYTES
 from orchidhill import interface as i
 
 from .sockets import (
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from ivymux.data_plane.server import IDLE_TIMEOUT_S, MAX_HEAD_BYTES, MAX_PIPELINED
+from ivymux.data_plane.client_connection import MAX_PIPELINED
+from ivymux.data_plane.server import IDLE_TIMEOUT_S, MAX_HEAD_BYTES
 from ivymux.platform.frontend import MAX_BODY_BYTES
 from orchidhill import interface as i
 from orchidhill.admission import WINDOW_S, stable_hash
