Elections: members defer to a candidate that waits for its own disk

A candidate that waits for its own disk or the backup's did not say so, and sent nothing while it stored the epoch's record; after 0.7 s the others tried a higher number, in turn. Change: repeated requests say so in each phase, for 1 s without progress at the most, and name the record known before.

--- a/ivymux/config_store/elections.py
+++ b/ivymux/config_store/elections.py
@@ -142,6 +142,7 @@
             self.request_promises(attempt)  # so that other members keep deferring
             self.transfer_state(attempt)
         else:
+            self.request_promises(attempt)  # so that other members keep deferring
             self.request_acceptance(attempt)
 
     def is_stalled(self, attempt: ElectionAttempt, record: EpochRecord) -> bool:
@@ -181,8 +182,20 @@
         """
         assert self.known_epoch is not None
         attempt.next_request_at = self.now + RETRY_INTERVAL_S / 2
-        waits_for_disk = self.now - attempt.still_writing_at < RETRY_INTERVAL_S
-        self.broadcast(PromiseRequest(self.identity, attempt.number, self.known_epoch, waits_for_disk))
+        known, waits_for_disk = self.known_epoch, self.is_waiting_for_disk(attempt)
+        if known.number == attempt.number:  # the attempt's own record, which may not be on the disk yet
+            known = attempt.promises[self.identity]
+        self.broadcast(PromiseRequest(self.identity, attempt.number, known, waits_for_disk))
+
+    def is_waiting_for_disk(self, attempt: ElectionAttempt) -> bool:
+        """Whether a member writes its promise, or this machine or a backup the epoch's state or record.
+
+        Members defer to an attempt that waits for a disk.  A disk that hangs is waited for only so long.
+        """
+        is_member_writing = self.now - attempt.still_writing_at < RETRY_INTERVAL_S
+        may_be_writing = bool(self.unsynced_step) or attempt.epoch_record is not None
+        has_progressed = self.now - attempt.last_progress_at < BACKUP_TIMEOUT_S
+        return is_member_writing or (may_be_writing and has_progressed)
 
     def on_promise_request(self, source: str, message: PromiseRequest) -> None:
         """Promise a candidate's epoch, unless a higher promise or a lease that was granted forbids it."""
