Membership: a backend that calls one registry is up, though another hears it no more

What callers saw: a backend that serves is sent nothing, at every proxy, until something about it changes. Where all backends of a service stand so, they are still tried as silent ones. Cause: the report with the highest call number decided. Registries report changes only: a backend that goes to another registry for one call and is back within 3.4 s changes nothing at the first one, whose reported number stays the lower one. The other registry's "lost" then won for good. Whether a quiescing backend holds its address was decided the same way. Both new tests fail on the code before. Change: a backend that any connected registry reports as up is up; one is lost when no registry hears it. Why it works: a registry reports "lost" by itself 3.4 s after the last call, so "up" at a connected registry is never older.

--- a/ivymux/proxy/membership_view.py
+++ b/ivymux/proxy/membership_view.py
@@ -1,8 +1,9 @@
 """A proxy's view of backends, other proxies and core machines, merged from all registries.  Pure.
 
 Each registry reports only what it received itself; registries do not copy one another.  For a backend, the
-report with the highest `call_seq` decides, except that the end of a backend is final whichever registry
-reports it.  A backend that no connected registry lists is kept for a while: the registry that received its
+report with the highest `call_seq` decides, with two exceptions: the end of a backend is final whichever
+registry reports it, and a backend that is up at one registry is not lost because it calls another one no
+longer.  A backend that no connected registry lists is kept for a while: the registry that received its
 heartbeats may have just failed, and another one will receive them.
 
 Several backends may be known at one address, as a crash is noticed late.  The address belongs to one of them
@@ -161,7 +162,7 @@
         previous = backend.state
         if previous == OFF:
             return
-        connected = [report for name, report in backend.reports.items() if self.registry(name).connected]
+        connected = self.connected_reports(backend)
         if any(report.state == OFF for report in backend.reports.values()):
             state = OFF
         elif not connected:
@@ -171,15 +172,19 @@
             newest = [report.state for report in connected if report.call_seq == call_seq]
             if previous == QUIESCING or QUIESCING in newest:
                 state = QUIESCING
-            elif not newest:
-                state = previous  # the newest report came from a registry that is now disconnected
+            elif any(report.state == UP for report in connected):
+                state = UP  # calls that change nothing are not reported, so its number may be the lower one
             else:
-                state = UP if UP in newest else LOST
+                state = LOST if newest else previous  # the newest report is of a disconnected registry
             backend.call_seq = call_seq
         if state != previous:
             backend.state = state
             self.mark_changed(backend)
 
+    def connected_reports(self, backend: Backend) -> list[BackendReport]:
+        """Return the reports on a backend of the registries that are connected."""
+        return [report for name, report in backend.reports.items() if self.registry(name).connected]
+
     def mark_changed(self, backend: Backend) -> None:
         """Note a change of a backend, which may also change who else at its address holds that address."""
         for id in self.address_claims.at(backend.address):
@@ -201,9 +206,8 @@
         """
         if backend.state != QUIESCING:
             return backend.state == UP
-        reports = [report for name, report in backend.reports.items() if self.registry(name).connected]
-        newest = max((report.call_seq for report in reports), default=0)
-        return not reports or any(r.state != LOST for r in reports if r.call_seq == newest)
+        reports = self.connected_reports(backend)
+        return not reports or any(report.state != LOST for report in reports)
 
     def present_backends(self) -> list[Backend]:
         """Return the backends but those whose address belongs to another one by now."""
--- a/tests/proxy/test_membership_view.py
+++ b/tests/proxy/test_membership_view.py
@@ -43,6 +43,25 @@
     assert view.backends["i-1"].state == LOST
 
 
+# Guards against a backend that serves and is sent nothing: it went to another registry for one call and came
+# back, which the first registry does not report, as nothing changed there.
+def test_a_backend_that_calls_one_registry_is_up_though_another_hears_it_no_more() -> None:
+    view = MembershipView()
+    snapshot(view, "a", entry("i-1", UP, 1))
+    snapshot(view, "b", entry("i-1", UP, 7))
+    view.apply_changes("b", 1, 2, [entry("i-1", LOST, 7)], 3.5)
+    assert view.backends["i-1"].state == UP
+    view.apply_changes("a", 1, 2, [entry("i-1", LOST, 9)], 9.0)
+    assert view.backends["i-1"].state == LOST
+
+
+def test_a_backend_that_quiesces_holds_its_address_while_one_registry_hears_it() -> None:
+    view = MembershipView()
+    snapshot(view, "a", entry("i-0", UP, 1), entry("i-1", QUIESCING, 3))
+    snapshot(view, "b", entry("i-1", LOST, 4))
+    assert view.holds_address(view.backends["i-1"]) and not view.holds_address(view.backends["i-0"])
+
+
 def test_changes_after_a_gap_are_not_applied() -> None:
     view = MembershipView()
     snapshot(view, "a", entry("i-1", UP, 1))
