Membership: what a registry reported before holds again when it is connected again

What callers saw: a proxy that is cut off from one registry for more than 6 s leaves out the backends that call this registry, also after it is connected again, until something about them changes. Cause: such backends count as lost after 6 s. On a new connection the registry sends only what changed meanwhile, which is nothing, and only what it sends was looked at. The new test fails on the code before. Change: a connection's first message derives the states of all backends anew that this registry has reported.

--- a/ivymux/proxy/membership_view.py
+++ b/ivymux/proxy/membership_view.py
@@ -103,10 +103,12 @@
         registry.incarnation_id, registry.last_sequence, registry.connected = incarnation_id, sequence, True
         registry.proxies = {str(entry[0]): ProxyLocation.decode(entry, now) for entry in proxies}
         self.proxies_changed = True
-        if complete:
-            for backend in self.backends.values():
-                if backend.reports.pop(name, None) is not None:
-                    self.recompute_state(backend, now)
+        for backend in self.backends.values():
+            if name not in backend.reports:
+                continue
+            if complete:
+                del backend.reports[name]
+            self.recompute_state(backend, now)  # without changes, what it reported before holds again
         self.apply_backends(name, backends, now)
 
     def apply_changes(self, name: str, previous: int, sequence: int, backends: Any, now: float) -> bool:
--- a/tests/proxy/test_membership_view.py
+++ b/tests/proxy/test_membership_view.py
@@ -87,6 +87,19 @@
     assert view.backends["i-2"].state == UP
 
 
+# Guards against a proxy that was cut off from one registry for some seconds, and then left out the backends
+# that call this registry until something about them changed.
+def test_what_a_registry_reported_holds_again_once_it_is_connected() -> None:
+    view = MembershipView()
+    snapshot(view, "a", entry("i-1", UP, 1))
+    snapshot(view, "b")
+    view.on_disconnected("a", 1.0)
+    view.expire_backends(7.5)
+    assert view.backends["i-1"].state == LOST
+    snapshot(view, "a", now=8.0, complete=False)
+    assert view.backends["i-1"].state == UP
+
+
 def test_the_proxies_are_those_that_any_connected_registry_lists() -> None:
     view = MembershipView()
     first, second = ["d1", "10.0.0.1", 7, "hall", 5.0], ["d2", "10.0.0.2", 7, "hall", 5.0]
