Membership: a backend that registries only report as lost expires

What callers saw: requests go to a backend that has crashed, for good: each costs a connect that fails before another one is tried. And a backend that leaves, and that no registry hears any more, may get requests if no other one of its service is up. Cause: a backend that any connected registry lists counted as listed, even if it is listed as lost. Where the registry that heard it last restarted, the others' reports have a lower call number and decide nothing, so it stayed up. A quiescing one that no registry lists became lost, and the lost ones of a service are tried where none is up. Both new tests fail on the code before. Change: only reports as alive count; a quiescing backend that nobody hears has ended, as it never returns under its id.

--- a/ivymux/proxy/membership_view.py
+++ b/ivymux/proxy/membership_view.py
@@ -17,7 +17,7 @@
 
 from ivymux.proxy.address_claims import AddressClaims
 
-ORPHAN_RETENTION_S = 6.0  # for a backend that no connected registry lists
+ORPHAN_RETENTION_S = 6.0  # for a backend that no connected registry lists as alive
 ENDED_RETENTION_S = 120.0  # for the id of a backend that has ended
 # States of a backend.
 UP, QUIESCING, LOST, OFF = "up", "quiescing", "lost", "off"
@@ -224,17 +224,18 @@
                 backend.last_listed_at = now
 
     def expire_backends(self, now: float) -> None:
-        """Expire backends that no registry lists any more, only while at least one is connected."""
+        """Expire backends that no registry hears any more, only while at least one is connected."""
         if not self.is_connected():
             return
         for backend in list(self.backends.values()):
-            listed = any(self.registry(name).connected for name in backend.reports)
-            if listed and backend.state not in (OFF, LOST):
+            is_listed = any(report.state != LOST for report in self.connected_reports(backend))
+            if is_listed and backend.state not in (OFF, LOST):
                 backend.last_listed_at = now
                 continue
             unlisted_for = now - backend.last_listed_at
             if backend.state in (UP, QUIESCING) and unlisted_for > ORPHAN_RETENTION_S:
-                backend.state = LOST
+                # One that quiesces never returns to service, so it has ended.
+                backend.state = LOST if backend.state == UP else OFF
                 self.mark_changed(backend)
             elif backend.state in (OFF, LOST) and unlisted_for > ENDED_RETENTION_S:
                 self.address_claims.release(backend.id, backend.address)
--- a/tests/proxy/test_membership_view.py
+++ b/tests/proxy/test_membership_view.py
@@ -100,6 +100,30 @@
     assert view.backends["i-1"].state == UP
 
 
+# Guards against a crashed backend that is sent requests for good: the registry that heard it last restarted,
+# and another one reported it lost under an earlier call.
+def test_a_backend_that_is_only_reported_as_lost_expires() -> None:
+    view = MembershipView()
+    snapshot(view, "a", entry("i-1", UP, 7))
+    view.on_disconnected("a", 1.0)
+    snapshot(view, "b", entry("i-1", LOST, 6), now=1.0)
+    view.apply_snapshot("a", "another run", 1, True, [], [], 2.0)
+    view.expire_backends(4.0)
+    assert view.backends["i-1"].state == UP  # it may be about to call the registry that restarted
+    view.expire_backends(8.5)
+    assert view.backends["i-1"].state == LOST
+
+
+# Guards against requests to a backend that leaves: as one that is only silent, it is tried where none is up.
+def test_a_quiescing_backend_that_no_registry_hears_any_more_has_ended() -> None:
+    view = MembershipView()
+    snapshot(view, "a", entry("i-1", QUIESCING, 7))
+    snapshot(view, "b")
+    view.on_disconnected("a", 1.0)
+    view.expire_backends(7.5)
+    assert view.backends["i-1"].state == OFF
+
+
 def test_the_proxies_are_those_that_any_connected_registry_lists() -> None:
     view = MembershipView()
     first, second = ["d1", "10.0.0.1", 7, "hall", 5.0], ["d2", "10.0.0.2", 7, "hall", 5.0]
