--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, cast
 
 from ivymux.data_plane.frontend import Answer
-from ivymux.data_plane.limits import Address, Bounds, ConfigError, parse_address
+from ivymux.data_plane.limits import Address, Bounds, parse_address
 from ivymux.data_plane.server import Server
 from ivymux.data_plane.upstream import Upstream
 from ivymux.fault_injection import TRIALS
@@ -23,15 +23,8 @@
 from ivymux.proxy.failure_reports import FailureReporter, WatchedHost
 from ivymux.proxy.frontend import ProxyFrontend
 from ivymux.proxy.lease_counts import LeaseCounts
-from ivymux.proxy.membership_view import (
-    LOST,
-    OFF,
-    UP,
-    Backend,
-    MembershipError,
-    MembershipView,
-    ProxyLocation,
-)
+from ivymux.proxy.member_entries import MemberEntries
+from ivymux.proxy.membership_view import Backend, MembershipError, MembershipView, ProxyLocation
 from ivymux.proxy.metrics import collect_metrics, format_metrics
 from ivymux.proxy.module_settings import CONNECT_TIMEOUT_S, COUNTER_TIMEOUT_S, module_settings
 from ivymux.proxy.name_tables import NameTables
@@ -44,8 +37,7 @@
 from ivymux.transport.connection import Connector, Listener
 from ivymux.transport.frames import Message
 from orchidhill import interface as i
-from orchidhill.interface import State
-from orchidhill.proxy_gateway import SILENT, ProxyGateway, ProxyRules
+from orchidhill.proxy_gateway import ProxyGateway, ProxyRules
 
 if TYPE_CHECKING:
     from ivymux.proxy.keyed_requests import KeyedRequests
@@ -69,7 +61,6 @@
 MIN_SOCKETS = 64  # for clients and backends
 KEYED_REQUESTS_LOAD_DELAY_S = 1.0  # after conversation settings, if there was no keyed request before
 REQUEST_COUNT_SAMPLES = 24  # that are kept; one is taken per sweep
-WARM_UP_S = 3.0  # for which a backend is slow after its start
 MAX_CORE_MACHINES = 32
 MAX_FAILED_CONNECTS = 60  # after which a core machine that no other core machine lists is dropped
 
@@ -87,6 +78,7 @@
         now = time.monotonic()
         self.clock = SystemClock(time.time(), now)
         self.membership, self.tables = MembershipView(), NameTables()
+        self.entries = MemberEntries(self.membership, self.tables, settings.zone)
         self.holders = CounterHolders(self.id, now, settings.is_initial_start)
         bounds = Bounds.from_limits(
             max(MIN_SOCKETS, settings.fd_limit - RESERVED_SOCKETS), settings.memory_mb
@@ -120,7 +112,7 @@
         self.request_counts: deque[tuple[float, int, int]] = deque(maxlen=REQUEST_COUNT_SAMPLES)
         self.frontend = ProxyFrontend(
             self.tables,
-            self.instance_id,
+            self.entries.instance_id,
             lambda: max(1, len(self.holders.joined_at)),
             self.load_keyed_requests,
             self.backend_number,
@@ -145,11 +137,9 @@
         self.cores: dict[str, CoreConnection] = {}
         self.config_version, self.first_applied_at = -1, 0.0
         self.configuration_requested_at, self.requested_version = 0.0, -1
-        self.instance_ids: dict[int, bytes] = {}
         self.malformed_messages = 0
         self.is_stopping = False
         self.sweep_timer: asyncio.TimerHandle | None = None
-        self.listing_version = 0
         self.is_core_connected = False
         self.core_connected_since = math.inf
         self.known_proxies: dict[str, ProxyLocation] = {}  # as last listed by a connected registry
@@ -168,9 +158,6 @@
     def answer_metrics(self) -> Answer:
         return Answer(200, format_metrics(collect_metrics(self)))
 
-    def instance_id(self, backend: int) -> bytes:
-        return self.instance_ids.get(backend, b"gone")
-
     def core_connectors(self) -> list[Connector]:
         """Return the open connections to the core, those within the same zone first."""
         connected = [core for core in self.cores.values() if core.is_connected]
@@ -314,36 +301,8 @@
         """Pass changed backends to the decision module."""
         if self.keyed_requests is not None:
             self.keyed_requests.is_stale = True
-        entries, addresses = [], {}
-        gateway_time, now = self.host.current_time(), time.monotonic()
-        for backend in backends:
-            try:
-                address = parse_address(backend.address)
-            except ConfigError:
-                continue  # backends that had ended when first reported have no address
-            state = gateway_state(backend, self.membership.holds_address(backend))
-            if state is State.GONE:
-                if backend.number not in self.instance_ids:
-                    continue
-            else:
-                self.instance_ids[backend.number] = backend.id.encode()
-            is_warming_up = backend.warm_until > now
-            started = gateway_time - WARM_UP_S + backend.warm_until - now if is_warming_up else 0.0
-            entries.append(
-                i.Entry(
-                    backend.number,
-                    0 if backend.zone == self.settings.zone else 1,
-                    started,
-                    state,
-                    SILENT if backend.state == LOST else 0,
-                    0,
-                    float(backend.capacity),
-                    self.tables.service_number(backend.service),
-                )
-            )
-            addresses[backend.number] = address
-        self.listing_version += 1
-        self.host.update_members(i.Members(i.Listing.DELTA, self.listing_version, tuple(entries)), addresses)
+        members, addresses = self.entries.translate(backends, self.host.current_time(), time.monotonic())
+        self.host.update_members(members, addresses)
 
     def apply_configuration(self, version: int, text: str) -> None:
         """Apply a configuration that is in force; a version that is not newer than the current is ignored."""
@@ -445,10 +404,3 @@
         self.ready_server.close()
         if self.metrics_server is not None:
             self.metrics_server.close()
-
-
-def gateway_state(backend: Backend, holds_address: bool) -> State:
-    """Return a backend's state in the terms of the decision module."""
-    if backend.state == OFF or not holds_address:
-        return State.GONE
-    return State.READY if backend.state == UP else State.DRAINING
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -83,6 +83,7 @@
     "ivymux.registry.proxy_reachability",
     "ivymux.registry.backend_records",
     "ivymux.registry.message_kinds",
+    "ivymux.proxy.member_entries",
     "ivymux.proxy.membership_view",
     "ivymux.proxy.keyed_actions",
     "ivymux.proxy.lease_counts",
