--- a/ivymux/proxy/member_entries.py
+++ b/ivymux/proxy/member_entries.py
@@ -46,7 +46,7 @@
             state = gateway_state(backend, self.membership.holds_address(backend))
             if state is not State.GONE:
                 self.instance_ids[backend.number] = backend.id.encode()
-            elif backend.number not in self.instance_ids:
+            elif self.instance_ids.pop(backend.number, None) is None:
                 continue
             entries.append(self.entry(backend, state, gateway_time, now))
             addresses[backend.number] = address
--- a/ivymux/proxy/membership_view.py
+++ b/ivymux/proxy/membership_view.py
@@ -238,8 +238,14 @@
                 backend.state = LOST if backend.state == UP else OFF
                 self.mark_changed(backend)
             elif backend.state in (OFF, LOST) and unlisted_for > ENDED_RETENTION_S:
-                self.address_claims.release(backend.id, backend.address)
-                del self.backends[backend.id], self.by_number[backend.number]
+                self.forget(backend)
+
+    def forget(self, backend: Backend) -> None:
+        """Remove a backend that ended long ago; the next `drain_changes` names it a last time, as ended."""
+        backend.state = OFF
+        self.mark_changed(backend)
+        self.address_claims.release(backend.id, backend.address)
+        del self.backends[backend.id], self.by_number[backend.number]
 
     def drain_changes(self) -> list[Backend]:
         """Return the backends that changed since the last call."""
