Bench: late second answers of backends, whole and broken off

Change: a backend may send bytes some milliseconds after an answer, when many connections carry their next request.

--- a/bench/backend_faults.py
+++ b/bench/backend_faults.py
@@ -2,9 +2,10 @@
 
     python -m bench.backend_faults [--quick] [--seed N] [--requests N] [--json FILE|-]
 
-Backends break off at any byte, close, add whole or broken-off second answers or other bytes, and answer with
-failures, without a body, or in chunks.  Meanwhile one proxy is stopped and started again and again, and both
-get SIGHUP.  A violated rule ends the run with the request's id; the seed draws the answers and the clients.
+Backends break off at any byte, close, add whole or broken-off second answers or other bytes, at once or late,
+and answer with failures, without a body, or in chunks.  Meanwhile one proxy is stopped and started again and
+again, and both get SIGHUP.  A violated rule ends the run with the request's id; the seed draws the answers and
+the clients.
 """
 
 from __future__ import annotations
@@ -23,7 +24,7 @@
 
 from bench.common import argument_parser, quantile, summarize, write_report
 from ivymux.simulation.local_cluster import LocalCluster, build_configuration, local_cluster
-from standins.backend import CLOSE_MARKER, Backend, ExecutedRequest
+from standins.backend import CLOSE_MARKER, LATE_MARKER, Backend, ExecutedRequest
 
 FULL_REQUESTS, QUICK_REQUESTS = 20_000, 2_000
 BACKENDS_PER_SERVICE = 4
@@ -33,11 +34,12 @@
 LONG_ANSWER_BYTES = 400_000  # of those that are read slowly
 SLOW_READ_BYTES, SLOW_READ_PAUSE_S = 20_000, 0.02
 MAX_LEAVE_AFTER_S = 0.03
+LATE_S = 0.003  # after an answer, for late bytes: many connections have their next request by then
 OPERATION_INTERVAL_S = 1.5  # between two signals
 REFUSALS = (429, 503)
 FAULTS = (
     "broken off", "closed", "second answer", "second status line", "other bytes", "failure", "refusal",
-    "no content", "not modified", "chunked",
+    "no content", "not modified", "chunked", "late second answer", "late part of a second answer",
 )  # fmt: skip
 
 
@@ -77,6 +79,10 @@
             data = sound + sound
         elif kind == "second status line":
             data = sound + b"HTTP/1.1 200 OK"[: self.random.randrange(1, 16)]
+        elif kind == "late second answer":
+            data = sound + LATE_MARKER + sound
+        elif kind == "late part of a second answer":
+            data = sound + LATE_MARKER + sound[: self.random.randrange(1, len(sound))]
         elif kind == "other bytes":
             data = sound + self.random.randbytes(self.random.randrange(1, 60))
         elif kind == "failure":
@@ -242,7 +248,7 @@
             await cluster.wait_until_served(ip)
             await cluster.wait_until_served(ip, "/sign/1")
         for backend in cluster.backends:
-            backend.make_answer = answers.make_answer
+            backend.make_answer, backend.late_s = answers.make_answer, LATE_S
         clients = Clients(cluster, seed)
         disturbing = asyncio.create_task(disturb(cluster, clients))
         memory = []
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 CLOSE_MARKER = b"close"  # at the end of an answer's bytes: close the connection after the answer
+LATE_MARKER = b"\0late\0"  # within an answer's bytes: what follows is sent `late_s` after what precedes
 
 
 @dataclass
@@ -43,6 +44,7 @@
     make_answer: Callable[[ExecutedRequest], bytes | None] = lambda request: None
     answer_gate: asyncio.Event | None = None  # answers wait until it is set
     work_s: float = 0.0  # the time that a request takes
+    late_s: float = 0.01  # see LATE_MARKER
     observer: RequestObserver = field(default_factory=RequestObserver)
     executed: list[ExecutedRequest] = field(default_factory=list)
     finished: list[str] = field(default_factory=list)  # IDs of requests whose work was completed
@@ -106,9 +108,7 @@
                         break
                 self.observer.on_end(request, completed=True)
                 data = self.make_answer(request)
-                writer.write(
-                    self.default_answer(request) if data is None else data.removesuffix(CLOSE_MARKER)
-                )
+                self.write_answer(writer, self.default_answer(request) if data is None else data)
                 if data is not None and data.endswith(CLOSE_MARKER):
                     break
         except (OSError, asyncio.IncompleteReadError, ValueError):
@@ -117,6 +117,18 @@
             self.connections.discard(writer)
             writer.close()
 
+    def write_answer(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Write an answer's bytes, those behind a LATE_MARKER later, whatever is written meanwhile."""
+        first, _, late = data.removesuffix(CLOSE_MARKER).partition(LATE_MARKER)
+        writer.write(first)
+        if late:
+            asyncio.get_running_loop().call_later(self.late_s, self.write_late, writer, late)
+
+    @staticmethod
+    def write_late(writer: asyncio.StreamWriter, late: bytes) -> None:
+        if not writer.is_closing():
+            writer.write(late)
+
     async def do_work(self, seconds: float) -> None:
         if seconds:
             await asyncio.sleep(seconds)
--- a/tests/system/test_backend_faults.py
+++ b/tests/system/test_backend_faults.py
@@ -27,7 +27,7 @@
     assert len(clients.exchanges) == REQUESTS
     for exchange in clients.exchanges:
         check(exchange, answers.given.get(exchange.id, []))
-    assert len(answers.counts) == 11  # each kind of answer was given
+    assert len(answers.counts) == 13  # each kind of answer was given
 
 
 def exchange(path: str, answer: httpx.Response | None) -> Exchange:
