--- a/bench/backend_faults.py
+++ b/bench/backend_faults.py
@@ -2,10 +2,10 @@
 
     python -m bench.backend_faults [--quick] [--seed N] [--requests N] [--json FILE|-]
 
-Backends break off at any byte, close, add whole or broken-off second answers or other bytes, at once or late,
-and answer with failures, without a body, or in chunks.  Meanwhile one proxy is stopped and started again and
-again, and both get SIGHUP.  A violated rule ends the run with the request's id; the seed draws the answers and
-the clients.
+Backends break off at any byte, close, add whole or broken-off second answers or other bytes, at once or
+late, and answer with failures, without a body, or in chunks.  Meanwhile one proxy is stopped and started
+again and again, and both get SIGHUP.  A violated rule ends the run with the request's id; the seed draws the
+answers and the clients.
 """
 
 from __future__ import annotations
