Proxies: lists of proxies come from four registries instead of all

Need: with 188 proxies and 12 core machines each registry sends each proxy the whole list at a start, 12 KB by its length, 26 MB in all, most of it between zones, which has a price; the lists are the same. Change: a proxy says with its first message whether it wants lists, which the first four registries that connect send; a source that is lost is replaced, in the proxy's zone first, and the last list is used until another one has come. A core of up to four machines works as before. An older registry sends lists unasked, which are left out; to an older proxy a registry sends them.

--- a/ivymux/proxy/core_connection.py
+++ b/ivymux/proxy/core_connection.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from ivymux.data_plane.limits import Address
+from ivymux.proxy.proxy_list_sources import needs_list_source
 from ivymux.runtime.log import Log
 from ivymux.transport.connection import Connection, Connector
 from ivymux.transport.frames import Message
@@ -26,6 +27,7 @@
     def __init__(self, proxy: Proxy, ip: str) -> None:
         self.proxy, self.ip = proxy, ip
         self.config_version, self.zone = -1, ""  # as the registry reports them
+        self.sends_proxy_lists = False  # on this connection, or it has been asked to
         address = Address(ip, proxy.settings.registry_port)
         self.connector = Connector(
             address, self.on_message, on_connect=self.on_connect, on_disconnect=self.on_disconnect
@@ -39,17 +41,25 @@
         """Introduce this proxy; the registry answers with a snapshot."""
         registry = self.proxy.membership.registry(self.ip)
         settings = self.proxy.settings
+        self.sends_proxy_lists = self.sends_proxy_lists or needs_list_source(self.proxy.registry_links())
         connection.send(
             {"k": "door", "id": self.proxy.id, "ip": settings.ip, "port": settings.proxy_port,
              "zone": settings.zone, "run": registry.incarnation_id, "n": registry.last_sequence,
-             "age": self.proxy.core_connected_seconds()}
+             "age": self.proxy.core_connected_seconds(), "lists": self.sends_proxy_lists}
         )  # fmt: skip
 
+    def request_proxy_lists(self) -> None:
+        """Ask the registry for the list of proxies, and for its changes."""
+        self.sends_proxy_lists = True
+        self.connector.send({"k": "lists"})
+
     def on_disconnect(self, connection: Connection) -> None:
+        self.sends_proxy_lists = False
         if self.proxy.membership.registry(self.ip).connected:
             self.proxy.membership.on_disconnected(self.ip, time.monotonic())
             self.proxy.clock.remove_source(self.ip)
             self.proxy.on_membership_changed()
+        self.proxy.replace_list_sources()
 
     def on_message(self, connection: Connection, message: Message) -> None:
         try:
@@ -68,9 +78,10 @@
         elif kind == "here":
             self.on_snapshot(connection, message)
         elif kind == "doors":
-            joined, left = message["on"], message["off"]
-            proxy.membership.update_proxies(self.ip, joined, left, time.monotonic())
-            proxy.on_membership_changed()
+            if self.sends_proxy_lists:
+                joined, left = message["on"], message["off"]
+                proxy.membership.update_proxies(self.ip, joined, left, time.monotonic())
+                proxy.on_membership_changed()
         elif kind == "shun":
             if number := proxy.backend_number(str(message["id"])):
                 seconds = float(message["for"])
@@ -106,7 +117,8 @@
         system_time = float(message["t"])
         proxy.clock.update(self.ip, system_time, now)
         incarnation_id, sequence = str(message["run"]), int(message["n"])
-        complete, backends, proxies = message["whole"] is True, message["i"], message["doors"]
+        complete, backends = message["whole"] is True, message["i"]
+        proxies = message["doors"] if self.sends_proxy_lists else None
         proxy.membership.apply_snapshot(self.ip, incarnation_id, sequence, complete, backends, proxies, now)
         proxy.update_cores(message["cores"])
         proxy.on_membership_changed()
--- a/ivymux/proxy/membership_view.py
+++ b/ivymux/proxy/membership_view.py
@@ -73,6 +73,7 @@
     incarnation_id: str = ""
     last_sequence: int = 0  # number of the last change received
     proxies: dict[str, ProxyLocation] = field(default_factory=dict)
+    sends_proxy_lists: bool = False
     connected: bool = False
 
 
@@ -98,10 +99,12 @@
         """Apply a registry's first message on a connection.
 
         It lists all backends if `complete`, otherwise those that changed since the last message.
+        `proxies`: None if this registry sends no lists of proxies.
         """
         registry = self.registry(name)
         registry.incarnation_id, registry.last_sequence, registry.connected = incarnation_id, sequence, True
-        registry.proxies = {str(entry[0]): ProxyLocation.decode(entry, now) for entry in proxies}
+        registry.sends_proxy_lists = proxies is not None
+        registry.proxies = {str(entry[0]): ProxyLocation.decode(entry, now) for entry in proxies or ()}
         self.proxies_changed = True
         for backend in self.backends.values():
             if name not in backend.reports:
@@ -218,7 +221,8 @@
     def on_disconnected(self, name: str, now: float) -> None:
         """Handle the end of the connection to a registry."""
         registry = self.registry(name)
-        registry.connected, registry.proxies, self.proxies_changed = False, {}, True
+        registry.connected, registry.sends_proxy_lists = False, False
+        registry.proxies, self.proxies_changed = {}, True
         for backend in self.backends.values():
             if name in backend.reports:
                 backend.last_listed_at = now
@@ -255,6 +259,7 @@
     def update_proxies(self, name: str, joined: Any, left: Any, now: float) -> None:
         """Apply a registry's report of proxies that joined, and of the ids of those that left."""
         registry = self.registry(name)
+        registry.sends_proxy_lists = True
         for entry in joined:
             registry.proxies[str(entry[0])] = ProxyLocation.decode(entry, now)
         for id in left:
@@ -271,6 +276,10 @@
                         found[id] = location
         return found
 
+    def has_proxy_list(self) -> bool:
+        """Whether any connected registry has sent a list of proxies."""
+        return any(r.connected and r.sends_proxy_lists for r in self.registries.values())
+
     def is_connected(self) -> bool:
         """Whether any registry is connected."""
         return any(registry.connected for registry in self.registries.values())
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -28,6 +28,7 @@
 from ivymux.proxy.metrics import collect_metrics, format_metrics
 from ivymux.proxy.module_settings import CONNECT_TIMEOUT_S, COUNTER_TIMEOUT_S, module_settings
 from ivymux.proxy.name_tables import NameTables
+from ivymux.proxy.proxy_list_sources import RegistryLink, further_list_sources
 from ivymux.proxy.status_pages import METRICS, READINESS, StatusPagesFrontend
 from ivymux.routing_config.route_plan import RoutingConfigError, parse_route_plan
 from ivymux.runtime.clock import SystemClock
@@ -187,6 +188,19 @@
         """Return for how many seconds the core is connected; before, others may have replaced this proxy."""
         return max(0.0, time.monotonic() - self.core_connected_since)
 
+    def registry_links(self) -> list[RegistryLink]:
+        """Return the connected registries as sources of lists of proxies."""
+        return [
+            RegistryLink(core.ip, core.zone, core.sends_proxy_lists)
+            for core in self.cores.values()
+            if core.is_connected
+        ]
+
+    def replace_list_sources(self) -> None:
+        """Ask other registries for lists of proxies in place of those that are no longer connected."""
+        for ip in further_list_sources(self.registry_links(), self.settings.zone):
+            self.cores[ip].request_proxy_lists()
+
     def send_to_core(self, message: Message) -> None:
         for connector in self.core_connectors():
             connector.send(message)
@@ -286,8 +300,10 @@
     def update_proxies(self, now: float) -> None:
         """Pass the present proxies to the counter, and their number to the decision module."""
         proxies = self.membership.proxies()
-        if self.membership.is_connected():
+        if self.membership.has_proxy_list():
             self.known_proxies = proxies
+        elif self.membership.is_connected():
+            return  # the last list is used until another registry has sent its own
         else:
             # The other proxies no longer list this proxy, and use other holders in its place.
             proxies = {id: location for id, location in self.known_proxies.items() if id != self.id}
--- a/ivymux/registry/message_kinds.py
+++ b/ivymux/registry/message_kinds.py
@@ -6,7 +6,10 @@
 from __future__ import annotations
 
 # From a proxy.
-HELLO = "door"  # id, ip, port, zone, run: the last known incarnation of the registry, n: its last change, age
+# id, ip, port, zone, run: the last known incarnation of the registry, n: its last change, age, lists: whether
+# to send lists of proxies; without this key, they are sent.
+HELLO = "door"
+PROXY_LISTS = "lists"  # asks for the list of proxies and its changes
 CHANGE_ACK = "ack"  # n: the change of backends
 CONFIG_APPLIED = "have"  # v: the version
 CONFIG_REQUEST = "want"
--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -117,6 +117,7 @@
     port: int
     zone: str
     joined_at: float  # steady time since which it has been connected to some core machine
+    wants_proxy_lists: bool = True
     acked_change: int = 0  # the last change of backends that it has acknowledged
     config_version: int = -1  # of the configuration that it has in force
     ack_waiters: list[tuple[int, asyncio.Future[None]]] = field(default_factory=list)  # by change
@@ -223,6 +224,8 @@
             self.release_apply_waiters()
         elif kind == kinds.CONFIG_REQUEST and self.config_version >= 0:
             connection.write(self.encoded_config)
+        elif kind == kinds.PROXY_LISTS:
+            self.send_proxy_list(proxy)
         elif kind == kinds.FAILURE_REPORT:
             for id, failures in message["l"]:
                 self.on_failure_report(proxy, str(id), int(failures))
@@ -276,7 +279,7 @@
         age_s = max(0.0, float(message.get("age", 0.0)))
         proxy = ConnectedProxy(
             connection, str(message["id"]), str(message["ip"]), int(message["port"]), str(message["zone"]),
-            now - age_s,
+            now - age_s, message.get("lists") is not False,
         )  # fmt: skip
         known_change, changes = int(message["n"]), None
         if message["run"] == self.incarnation_id:
@@ -289,13 +292,20 @@
         }  # fmt: skip
         entries = self.backends.encode_all(now) if changes is None else changes
         batches = split_changes(known_change, self.backends.last_change, entries)
-        proxies = [p.encode(now) for p in self.proxies.values()]
+        proxies = [p.encode(now) for p in self.proxies.values()] if proxy.wants_proxy_lists else []
         for part in snapshot_messages(fields, batches, proxies):
             connection.send(part)
         for name, (version, text) in self.replicated_settings.items():
             connection.send(setting_message(name, version, text))
         self.announce(proxy, True)
 
+    def send_proxy_list(self, proxy: ConnectedProxy) -> None:
+        """Send the list of all proxies, and from now on its changes."""
+        proxy.wants_proxy_lists = True
+        now = time.monotonic()
+        for part in proxy_change_messages([p.encode(now) for p in self.proxies.values()], []):
+            proxy.connection.send(part)
+
     def on_disconnect(self, connection: Connection) -> None:
         """Forget a proxy's connection; calls no longer wait for its acknowledgements."""
         proxy = self.proxies.pop(connection, None)
@@ -334,7 +344,8 @@
             data = encode_frame(message)
             for proxy in self.proxies.values():
                 # A proxy that is announced alone knows of itself already.
-                if len(announced) > 1 or proxy.id not in announced:
+                is_news = len(announced) > 1 or proxy.id not in announced
+                if is_news and proxy.wants_proxy_lists:
                     proxy.connection.write(data)
 
     # --- acknowledgements of proxies -----------------------------------------------------------------------
--- a/tests/registry/test_applied.py
+++ b/tests/registry/test_applied.py
@@ -90,3 +90,28 @@
         await cluster.close()
 
     run(test())
+
+
+def test_a_proxy_that_takes_lists_elsewhere_is_sent_none_until_it_asks(tmp_path: Path) -> None:
+    async def test() -> None:
+        cluster = LocalCluster(tmp_path)
+        registry = Registry(load(cluster.write_settings(cluster.core_ips[0], True)))
+        first = RecordingConnection(registry.on_message, on_disconnect=registry.on_disconnect)
+        first.written = []
+        first.is_connected = True
+        message = {"id": "d", "ip": "127.0.0.8", "port": 1, "zone": "hall", "run": "", "n": 0, "lists": False}
+        registry.add_proxy(first, message)
+        connect_proxy(registry, 1)
+        await until(lambda: not registry.unannounced and registry.announce_timer is None)
+        assert first.written[0]["doors"] == []
+        assert not [message for message in first.written if message["k"] == "doors"]
+        registry.handle_message(first, {"k": "lists"})
+        connect_proxy(registry, 2)
+        await until(lambda: not registry.unannounced and registry.announce_timer is None)
+        lists = [message for message in first.written if message["k"] == "doors"]
+        assert {entry[0] for entry in lists[0]["on"]} == {"d", "d1"}
+        assert {entry[0] for message in lists for entry in message["on"]} == {"d", "d1", "d2"}
+        await registry.stop()
+        await cluster.close()
+
+    run(test())
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -90,6 +90,7 @@
     "ivymux.proxy.counter_holders",
     "ivymux.proxy.module_settings",
     "ivymux.proxy.name_tables",
+    "ivymux.proxy.proxy_list_sources",
     "ivymux.proxy.answer_policy",
     "ivymux.simulation.event_queue",
     "ivymux.simulation.core_cluster",
