Core: backends' calls hand out the keys of divided services

Change: a registry passes what a backend reports of its keys to the primary, beside the wait for the proxies, and answers with the rows and the time that it grants; without a primary it answers 503, so that the backend calls another machine. Tables are replicated settings, stored on the disks of primary and backups before anything that they change is granted. Proxies are sent what changed between two versions. Only the way by heartbeats is built; services with `grants` by POST /grant are not given keys yet.

--- a/ivymux/config_store/calls.py
+++ b/ivymux/config_store/calls.py
@@ -61,8 +61,21 @@
     name: str
 
 
-AnyCall = PutConfiguration | ClaimAction | EndAction | PutSetting | ReadSetting
-TAGS = frozenset(("put", "claim", "end", "note", "read"))
+class ReportHoldings(Call, frozen=True, tag="hold"):
+    """Report which keys a backend holds; the answer says which it is to hold."""
+
+    service: str
+    id: str
+    address: str
+    capacity: int
+    is_leaving: bool
+    call_seq: int
+    holdings: list[Any]  # rows of first key, last key, fence
+    released: list[Any]  # rows of first key, last key, handover code
+
+
+AnyCall = PutConfiguration | ClaimAction | EndAction | PutSetting | ReadSetting | ReportHoldings
+TAGS = frozenset(("put", "claim", "end", "note", "read", "hold"))
 
 
 def encode(call: Call) -> dict[str, Any]:
--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -21,12 +21,14 @@
     Send,
     may_overtake,
 )
+from ivymux.config_store.calls import ReportHoldings
 from ivymux.config_store.changes import NO_VERSION
 from ivymux.config_store.durable_store import FOLDER, DurableStore, DurableStoreError, sync_folder
 from ivymux.config_store.isolation import IsolationDetector
 from ivymux.config_store.messages import PROTOCOL_VERSION, Greeting, ReplicaMessage
 from ivymux.config_store.records import ReplicatedSetting, address_of
 from ivymux.config_store.replica import Replica
+from ivymux.config_store.shard_service import ShardService, StoredTable
 from ivymux.config_store.timing import LEASE_S
 from ivymux.data_plane.limits import Address
 from ivymux.runtime.log import Log
@@ -69,6 +71,13 @@
         sync_folder(settings.data_path)
         sync_folder(settings.data_path / FOLDER)
         self.replica = Replica(durable, time.monotonic(), settings.backup_count)
+        self.shards = ShardService(
+            self.replica,
+            self.replica.record_replication.settings,
+            settings.heartbeat_period_s,
+            settings.max_hold_s,
+        )
+        self.storing: set[str] = set()  # services whose tables of shards are being stored
         self.disk_executor = ThreadPoolExecutor(1)
         self.queue: deque[Action] = deque()  # actions that wait for the write in progress
         self.writing: list[Persist] = []  # the write in progress
@@ -109,6 +118,7 @@
         while not self.is_ending:
             self.carry_out(self.replica.tick(time.monotonic()))
             self.update_cores()
+            self.store_shard_tables()
             await asyncio.sleep(TICK_INTERVAL_S)
 
     def connect_to(self, address: str) -> None:
@@ -360,7 +370,11 @@
         completed: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.calls[call_id] = completed
         try:
-            reply = self.replica.handle_call(time.monotonic(), call_id, calls.decode(message))
+            call = calls.decode(message)
+            if isinstance(call, ReportHoldings):
+                answer = self.shards.on_call(call, time.monotonic())
+                return answer if answer is not None else await self.forward_call(message, deadline)
+            reply = self.replica.handle_call(time.monotonic(), call_id, call)
             if reply is not None:
                 self.carry_out(reply.actions)
                 step_downs = self.replica.step_downs
@@ -375,6 +389,23 @@
             self.calls.pop(call_id, None)
         return await self.forward_call(message, deadline)
 
+    def store_shard_tables(self) -> None:
+        """Store the tables of shards that have changed, one of each service at a time."""
+        for stored in self.shards.tables_to_store(time.monotonic()):
+            if stored.service not in self.storing:
+                self.storing.add(stored.service)
+                self.spawn(self.store_shard_table(stored))
+
+    async def store_shard_table(self, stored: StoredTable) -> None:
+        """Store a table of shards; if that fails, it is tried again with the next tick."""
+        try:
+            deadline = time.monotonic() + CALL_TIMEOUT_S
+            answer = await self.try_call({**calls.encode(stored.call), "passed": True}, deadline)
+        finally:
+            self.storing.discard(stored.service)
+        if answer is not None and answer.get("ok") is True and answer.get("taken") is not False:
+            self.shards.on_stored(stored)
+
     async def forward_call(self, message: Message, deadline: float) -> Message | None:
         """Forward a call to the primary on another machine, unless this call was already forwarded."""
         address = self.primary_address()
--- a/ivymux/registry/message_kinds.py
+++ b/ivymux/registry/message_kinds.py
@@ -9,6 +9,7 @@
 # id, ip, port, zone, run: the last known incarnation of the registry, n: its last change, age, lists: whether
 # to send lists of proxies; without this key, they are sent.
 HELLO = "door"
+SHARDS = "shards"  # s: a service; asks for the holders of all its shards
 PROXY_LISTS = "lists"  # asks for the list of proxies and its changes
 CHANGE_ACK = "ack"  # n: the change of backends
 CONFIG_APPLIED = "have"  # v: the version
@@ -22,6 +23,8 @@
 SNAPSHOT = "here"
 BACKEND_CHANGES = "news"  # f: the change before them, n: the last one, i: backends
 PROXY_CHANGES = "doors"  # on: proxies that joined, off: ids of those that left
+# Also SHARDS, with s: the service, v: version, f: the version before it or -1, c: shards by their holder,
+# those that changed or all.
 EJECTION = "shun"  # id: the backend, for: seconds
 CONFIG_TEXT = "text"  # v: version, t: text
 
--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -15,12 +15,13 @@
 
 import msgspec
 
+from ivymux.config_store.calls import ReportHoldings, encode
 from ivymux.data_plane.frontend import Answer
 from ivymux.data_plane.limits import Address, Bounds
 from ivymux.data_plane.server import Server
 from ivymux.fault_injection import TRIALS
 from ivymux.registry import message_kinds as kinds
-from ivymux.registry.backend_records import QUIESCING, UP, BackendRecords, CallError
+from ivymux.registry.backend_records import OFF, QUIESCING, UP, BackendRecords, CallError
 from ivymux.registry.operator_endpoints import OperatorEndpoints
 from ivymux.registry.outlier_detection import OutlierDetector
 from ivymux.registry.proxy_reachability import ProxyReachability
@@ -30,10 +31,13 @@
     snapshot_messages,
     split_changes,
 )
+from ivymux.registry.shard_reports import holdings_answer, holdings_report
+from ivymux.registry.shard_updates import is_shard_table, shard_message
 from ivymux.registry.trial_endpoints import TrialEndpoints
 from ivymux.routing_config.route_plan import MAX_TEXT_BYTES
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
+from ivymux.sharding import SETTING_PREFIX
 from ivymux.transport.connection import (
     CALL_NUMBER,
     REPLY_TO,
@@ -54,6 +58,7 @@
 
 MAX_SILENT_HEARTBEATS = 2.3  # heartbeat periods without a call after which a backend counts as lost
 EXPIRY_INTERVAL_S = 0.25
+HOLDINGS_TIMEOUT_S = 0.7  # of a call about a backend's keys; backends wait a second
 ACK_TIMEOUT_S = 0.45  # for the proxies to acknowledge a change of a backend
 FORWARD_TIMEOUT_S = 0.88  # of a proxy's call that the config store answers
 MAX_FORWARDED_CALLS = 4000  # at once
@@ -71,6 +76,7 @@
 MIN_HTTP_CONNECTIONS = 64
 MAX_HTTP_CONNECTIONS = 2000
 
+NO_PRIMARY = "no core machine can hand out keys just now; call another core machine"
 NOT_REACHED = "this machine does not reach the doors just now; call another core machine"
 
 log = Log("registry")
@@ -198,6 +204,8 @@
             self.release_apply_waiters()
         elif kind == kinds.CONFIG_REQUEST and self.config_version >= 0:
             connection.write(self.encoded_config)
+        elif kind == kinds.SHARDS:
+            self.send_setting(proxy, SETTING_PREFIX + str(message["s"]))
         elif kind == kinds.PROXY_LISTS:
             self.send_proxy_list(proxy)
         elif kind == kinds.FAILURE_REPORT:
@@ -269,10 +277,18 @@
         proxies = [p.encode(now) for p in self.proxies.values()] if proxy.wants_proxy_lists else []
         for part in snapshot_messages(fields, batches, proxies):
             connection.send(part)
-        for name, (version, text) in self.replicated_settings.items():
-            connection.send(setting_message(name, version, text))
+        for name in self.replicated_settings:
+            self.send_setting(proxy, name)
         self.announce(proxy, True)
 
+    def send_setting(self, proxy: ConnectedProxy, name: str) -> None:
+        """Send a proxy a whole replicated setting."""
+        if name not in self.replicated_settings:
+            return
+        version, text = self.replicated_settings[name]
+        make = shard_message if is_shard_table(name) else setting_message
+        proxy.connection.send(make(name, version, text))
+
     def send_proxy_list(self, proxy: ConnectedProxy) -> None:
         """Send the list of all proxies, and from now on its changes."""
         proxy.wants_proxy_lists = True
@@ -390,10 +406,12 @@
                 self.broadcast(encode_frame({"k": kinds.CONFIG, "v": version}))
         elif kind == kinds.SETTING:
             name, version, text = str(message["name"]), int(message["v"]), str(message["t"])
-            known_version, _ = self.replicated_settings.get(name, (-1, ""))
-            if version > known_version:
+            known = self.replicated_settings.get(name)
+            if known is None or version > known[0]:
                 self.replicated_settings[name] = version, text
-                self.broadcast(encode_frame(setting_message(name, version, text)))
+                is_table = is_shard_table(name)
+                news = shard_message(name, version, text, known) if is_table else None
+                self.broadcast(encode_frame(news or setting_message(name, version, text)))
                 if name == TRIALS:
                     self.trial_service().apply(text)
         elif kind == kinds.CONTACT:
@@ -422,16 +440,37 @@
         if has_changed:
             self.broadcast_changes(before)
         record = self.backends.records[request.name]
+        try:
+            report = holdings_report(body, record) if record.state != OFF else None
+        except CallError as error:
+            return error_answer(400, str(error))
+        grants = self.ask_for_holdings(report) if report is not None else None
         if has_changed or record.state == QUIESCING:  # the call may repeat one that was interrupted
             is_departure = record.state == QUIESCING
             is_reached = await self.wait_until_acknowledged(record.change_number, is_departure)
         else:
             connected = [proxy.address for proxy in self.proxies.values()]
             is_reached = self.reachability.is_sufficient(connected, time.monotonic())
+        granted = await grants if grants is not None else {}
         if not is_reached:
             return error_answer(503, NOT_REACHED)
+        if granted is None:
+            return error_answer(503, NO_PRIMARY)
         own = self.server.listen
-        return Answer(200, msgspec.json.encode({"beat_target": f"{own.host}:{own.port}"}), JSON)
+        fields = {"beat_target": f"{own.host}:{own.port}", **granted}
+        return Answer(200, msgspec.json.encode(fields), JSON)
+
+    def ask_for_holdings(self, report: ReportHoldings) -> asyncio.Task[dict[str, Any] | None]:
+        """Begin to ask the primary which keys a backend is to hold; the result is None without an answer."""
+
+        async def ask() -> dict[str, Any] | None:
+            try:
+                reply = await self.config_store.call(encode(report), HOLDINGS_TIMEOUT_S)
+            except TransportError:
+                return None
+            return holdings_answer(reply) if reply.get("ok") else None
+
+        return asyncio.get_running_loop().create_task(ask())
 
     @endpoint("DELETE", "/instances/{}")
     async def delete_backend(self, request: HttpRequest) -> Answer:
--- a/ivymux/runtime/settings.py
+++ b/ivymux/runtime/settings.py
@@ -125,6 +125,7 @@
         self.retry_ratio = number_bound(bounds, "retry_ratio", 0.2)
         self.quota_window_s = duration_bound(bounds, "quota_window", "5s")
         self.quota_excess = number_bound(bounds, "quota_excess", 0.0)  # share of a quota
+        self.max_hold_s = duration_bound(bounds, "hold_max", "10s")  # of keys by a backend
         self.quota_slack = number_bound(bounds, "quota_slack", 0.0)  # requests
         # Beside the primary, so that as many disks may be lost at once; one is always kept.
         self.backup_count = max(1, machine_losses(file.terms_table.fault_tolerance))
