Proxies: requests on a key go to the backend that holds it

Change: `shard_mode` of a service is read; a request of such a service needs Shard-Key and goes to the holder alone, or is refused at once where none is known, reached or free. Tables come from the registries as differences by version.

--- a/ivymux/proxy/core_connection.py
+++ b/ivymux/proxy/core_connection.py
@@ -86,6 +86,10 @@
             if number := proxy.backend_number(str(message["id"])):
                 seconds = float(message["for"])
                 proxy.host.post(i.Shun(number, min(MAX_EJECTION_S, seconds)))
+        elif kind == "shards":
+            service, previous, version = str(message["s"]), int(message["f"]), int(message["v"])
+            if not proxy.shard_tables.apply(service, previous, version, message["c"]):
+                connection.send({"k": "shards", "s": service})  # changes are missing
         elif kind == "cores":
             proxy.update_cores(message["l"])
         elif kind == "note":
--- a/ivymux/proxy/frontend.py
+++ b/ivymux/proxy/frontend.py
@@ -11,6 +11,7 @@
 from ivymux.data_plane.client_departures import OnDeparture
 from ivymux.data_plane.frontend import CLOSE_CONNECTION, Answer, BadRequest, Call, Headers
 from ivymux.proxy.name_tables import NameTables
+from ivymux.proxy.shard_tables import ShardTables
 from ivymux.routing_config.route_plan import RoutePlan
 from orchidhill import interface as i
 
@@ -30,6 +31,7 @@
     b" transfer-encoding upgrade expect content-length".split()
 )
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
+SHARD_KEY_HEADER = b"shard-key"
 # Set by the proxy; a client's fields of these names are not passed on.
 PROXY_HEADERS = frozenset((b"time-remaining", b"target-instance", b"tenant-name"))
 TARGET = re.compile(rb"/[!-~]*")
@@ -57,10 +59,12 @@
         proxy_count: Callable[[], int],
         load_keyed_requests: Callable[[], KeyedRequests] | None = None,
         backend_number: Callable[[str], int] = lambda backend: 0,
+        shard_tables: ShardTables | None = None,
     ) -> None:
         """`instance_id`: returns a backend's id by its number; `backend_number`: its number by its id."""
         self.tables, self.instance_id, self.proxy_count = tables, instance_id, proxy_count
         self.load_keyed_requests, self.backend_number = load_keyed_requests, backend_number
+        self.shard_tables = shard_tables or ShardTables()
         self.plan: RoutePlan | None = None
         self.trial_client: TrialClient | None = None  # only while a trial may be in force
         self.max_body_bytes = DEFAULT_MAX_BODY_BYTES
@@ -86,7 +90,7 @@
             raise BadRequest(NO_CONFIGURATION, 503)
         if not TARGET.fullmatch(target):
             raise BadRequest("malformed target")
-        host, authorization, try_id, time_remaining = b"", b"", b"", b""
+        host, authorization, try_id, time_remaining, shard_key = b"", b"", b"", b"", b""
         host_count, has_key = 0, False
         dropped = set(CONNECTION_HEADERS)
         for field, value in headers:
@@ -98,6 +102,8 @@
                 try_id = value
             elif field == b"time-remaining":
                 time_remaining = value
+            elif field == SHARD_KEY_HEADER:
+                shard_key = value
             elif field == IDEMPOTENCY_KEY_HEADER:
                 has_key = True
             elif field == b"connection":  # names headers that apply to this connection only
@@ -131,6 +137,9 @@
             claim, keyed_service = keyed.claim, keyed.service
             home = self.backend_number(keyed.home_backend)
         service_name = keyed_service or route.choose_service(draw)
+        is_sharded = plan.services[service_name].is_sharded
+        if is_sharded:
+            home = self.shard_holder(service_name, shard_key)
         hold_s, drops_answer = 0.0, False
         if self.trial_client is not None and tenant:
             injection = self.trial_client.inject(
@@ -164,7 +173,7 @@
         def make_event(request: int) -> i.Request:
             return i.Request(
                 request, class_number, plan_number, customer, deadline - time.monotonic(), 1.0, proxy_count(),
-                0, False, not route.is_idempotent, service, route.max_attempts, home,
+                0, False, not route.is_idempotent, service, route.max_attempts, home, is_sharded,
             )  # fmt: skip
 
         return Call(
@@ -173,6 +182,16 @@
             on_departure=OnDeparture.for_request(route.is_idempotent),
         )  # fmt: skip
 
+    def shard_holder(self, service: str, key: bytes) -> int:
+        """Return the number of the backend that holds a key.  Raises BadRequest."""
+        holder = self.shard_tables.holder(service, key)
+        if holder is None:
+            raise BadRequest("Shard-Key: write a whole number from 0 to 65535")
+        number = self.backend_number(holder)
+        if not number:
+            raise BadRequest("no backend holds this key just now", 503)
+        return number
+
     def refusal(self, error: BadRequest) -> Answer:
         body = f"{error}\n".encode()
         if error.status != 503:
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -29,6 +29,7 @@
 from ivymux.proxy.module_settings import CONNECT_TIMEOUT_S, COUNTER_TIMEOUT_S, module_settings
 from ivymux.proxy.name_tables import NameTables
 from ivymux.proxy.proxy_list_sources import RegistryLink, further_list_sources
+from ivymux.proxy.shard_tables import ShardTables
 from ivymux.proxy.status_pages import METRICS, READINESS, StatusPagesFrontend
 from ivymux.routing_config.route_plan import RoutingConfigError, parse_route_plan
 from ivymux.runtime.clock import SystemClock
@@ -79,6 +80,7 @@
         now = time.monotonic()
         self.clock = SystemClock(time.time(), now)
         self.membership, self.tables = MembershipView(), NameTables()
+        self.shard_tables = ShardTables()
         self.entries = MemberEntries(self.membership, self.tables, settings.zone)
         self.holders = CounterHolders(self.id, now, settings.is_initial_start)
         bounds = Bounds.from_limits(
@@ -117,6 +119,7 @@
             lambda: max(1, len(self.holders.joined_at)),
             self.load_keyed_requests,
             self.backend_number,
+            self.shard_tables,
         )
         listen = settings.listen_addresses["front_addr"]
         self.server = Server(self.frontend, listen, bounds, self.host)
--- a/ivymux/routing_config/route_plan.py
+++ b/ivymux/routing_config/route_plan.py
@@ -58,6 +58,7 @@
     name: str
     health_path: str = "/"
     conn_limit: int = 0
+    shard_mode: bool = False
 
 
 @dataclass
@@ -124,6 +125,7 @@
     name: str
     health_path: str
     max_connections: int  # from all callers together; 0: the limit is unknown
+    is_sharded: bool = False  # whether its backends divide its keys among them
 
 
 @dataclass(frozen=True, slots=True)
@@ -244,7 +246,9 @@
                 f"{where}.name: {entry.name!r} is empty or stands twice; name each service once"
             )
         max_connections = required_number(entry.conn_limit, where)
-        services[entry.name] = Service(entry.name, str(entry.health_path), max_connections)
+        services[entry.name] = Service(
+            entry.name, str(entry.health_path), max_connections, entry.shard_mode is True
+        )
     return services
 
 
--- a/orchidhill/interface.py
+++ b/orchidhill/interface.py
@@ -195,6 +195,7 @@
     service: int = 0
     most: int = 0  # maximum of attempts that reach a backend; 0: `Limits.max_attempts`
     home: int = 0  # the backend with the conversation's state; 0: none
+    is_home_only: bool = False  # whether no other backend may run it
 
 
 @dataclass(slots=True)
--- a/orchidhill/proxy_gateway.py
+++ b/orchidhill/proxy_gateway.py
@@ -301,6 +301,8 @@
 
     def choose_backend(self, job: Job) -> ProxyBackend | None:
         """Return the untried backend expected to answer first; an ejected one if no other backend is left."""
+        if job.req.is_home_only:
+            return self.only_backend(job)
         best, best_score, ejected, ejected_score = None, math.inf, None, math.inf
         usual_latency = self.class_latency[job.req.cls]
         service = self.service(job.req.service)
@@ -327,6 +329,15 @@
             return home
         return best if best is not None else ejected
 
+    def only_backend(self, job: Job) -> ProxyBackend | None:
+        """Return the one backend that may run the job, if it takes requests and has not been tried."""
+        backend = self.backends.get(job.req.home)
+        if backend is None or job.req.home in job.tried or self.now < backend.ejected_until:
+            return None
+        is_silent = backend.entry.kind == SILENT and backend.state is State.DRAINING
+        has_room = len(backend.in_flight) < QUEUE_DEPTH * max(1.0, backend.entry.weight)
+        return backend if has_room and (backend.state is State.READY or is_silent) else None
+
     def home_backend(self, job: Job, usual_latency: float, best: ProxyBackend | None) -> ProxyBackend | None:
         """Return the home backend of the job's conversation if it is ready and not much worse than others.
 
--- a/tests/proxy/test_proxy_gateway.py
+++ b/tests/proxy/test_proxy_gateway.py
@@ -88,6 +88,26 @@
     assert sent_backends(harness.send_request(cls=1, home=3)[1]) != [3]
 
 
+def test_a_request_on_a_key_goes_to_the_holder_of_the_key_or_is_refused_at_once() -> None:
+    harness = ProxyHarness()
+
+    def send(home: int) -> tuple[int, list[i.Action]]:
+        harness.number += 1
+        request = i.Request(
+            harness.number, 0, 0, 0, 1.0, 1.0, 4, 0, False, False, 0, 2, home, is_home_only=True
+        )
+        return harness.number, harness.handle(request)
+
+    number, actions = send(3)
+    assert sent_backends(actions) == [3]
+    actions = harness.finish_attempt(number, 0, 3, Outcome.FULL)  # it no longer holds the key
+    assert not sent_backends(actions) and any(isinstance(action, i.Refuse) for action in actions)
+    harness.set_backends((2, State.DRAINING))
+    for gone in (2, 9):
+        _, actions = send(gone)
+        assert not sent_backends(actions) and any(isinstance(action, i.Refuse) for action in actions)
+
+
 def test_a_rejected_request_is_retried_at_another_backend() -> None:
     harness = ProxyHarness()
     request, actions = harness.send_request(cls=1)
