Sharding: the shards of each backend are indexed, and quiet ticks cost little

Cause: each tick of 50 ms counted every backend's rows, about 50,000 steps with 99 backends, and each call looked through all shards. Change: an index by holder that follows the stored table; a backend with too many rows is noted when it calls.

--- a/ivymux/sharding/shard_leases.py
+++ b/ivymux/sharding/shard_leases.py
@@ -89,8 +89,11 @@
     first_call_at: float = math.inf
     rebalance_at: float = 0.0
     proposed: ShardTable | None = None  # being stored; its changes may come into force at any time
+    with_many_rows: set[str] = field(default_factory=set)  # backends whose shards need a common fence
+    shards_by_holder: dict[str, list[int]] = field(default_factory=dict)  # by the stored table
 
     def __post_init__(self) -> None:
+        self.shards_by_holder = self.table.shards_by_holder()
         self.leases = [ShardLease(self.now + self.lease_bound_s()) for _ in range(SHARDS)]
         if self.table.highest_fence():  # backends that have not called yet may hold leases
             self.rebalance_at = self.now + self.lease_bound_s()
@@ -134,7 +137,7 @@
     def grant(self, call: HolderCall) -> list[KeyRow]:
         """Return the rows of a backend's shards, but for those that it is to let go."""
         shards: list[tuple[int, int, str]] = []
-        for shard in self.table.shards_of(call.id):
+        for shard in self.shards_by_holder.get(call.id, ()):
             lease = self.leases[shard]
             if self.is_proposed_to_other(shard):
                 continue
@@ -144,7 +147,10 @@
             lease.is_released = lease.is_withheld = False
             lease.granted_seq, lease.ends_at = call.call_seq, self.now + self.lease_bound_s()
             shards.append((shard, self.table.holders[shard].fence, lease.handover))
-        return rows_of(shards)
+        rows = rows_of(shards)
+        if len(rows) > MAX_ROWS:
+            self.with_many_rows.add(call.id)
+        return rows
 
     def is_proposed_to_other(self, shard: int) -> bool:
         """Whether a table that is being stored gives a shard to another backend."""
@@ -179,7 +185,7 @@
             return
         self.rebalance_at = self.now + REBALANCE_INTERVAL_S
         for backend in [b for b in self.backends.values() if self.now - b.last_call_at > 10 * self.lease_s]:
-            if not self.table.shards_of(backend.id):
+            if backend.id not in self.shards_by_holder:
                 del self.backends[backend.id]
         candidates = self.candidates()
         is_first = not self.table.highest_fence()
@@ -216,25 +222,22 @@
         if self.proposed is not None:
             return self.proposed
         self.rebalance()
+        if not self.with_many_rows and not any(lease.next_holder for lease in self.leases):
+            return None
         holders = list(self.table.holders)
         fence = self.table.highest_fence() + 1
         for shard, lease in enumerate(self.leases):
             is_free = lease.is_released or self.now >= lease.ends_at or not holders[shard].backend
             if lease.next_holder and is_free:
                 holders[shard] = ShardHolder(lease.next_holder, fence)
-        for backend in self.backends:
-            self.merge_rows(backend, holders, fence)
+        for shard, holder in enumerate(holders):
+            if holder.backend in self.with_many_rows:
+                holders[shard] = ShardHolder(holder.backend, fence)
+        self.with_many_rows.clear()
         table = ShardTable(tuple(holders))
         self.proposed = table if table != self.table else None
         return self.proposed
 
-    def merge_rows(self, backend: str, holders: list[ShardHolder], fence: int) -> None:
-        """Give a backend's shards a common fence if they need too many rows."""
-        held = [shard for shard, holder in enumerate(holders) if holder.backend == backend]
-        if len(rows_of((shard, holders[shard].fence, "") for shard in held)) > MAX_ROWS:
-            for shard in held:
-                holders[shard] = ShardHolder(backend, fence)
-
     def on_stored(self, table: ShardTable) -> None:
         """Put a table into force that is on all disks."""
         for shard, (before, after) in enumerate(zip(self.table.holders, table.holders, strict=True)):
@@ -242,3 +245,4 @@
                 former = self.leases[shard]
                 self.leases[shard] = ShardLease(0.0, handover=former.handover if former.is_released else "")
         self.table, self.proposed = table, None
+        self.shards_by_holder = table.shards_by_holder()
--- a/ivymux/sharding/shard_table.py
+++ b/ivymux/sharding/shard_table.py
@@ -56,8 +56,12 @@
     def highest_fence(self) -> int:
         return max(holder.fence for holder in self.holders)
 
-    def shards_of(self, backend: str) -> list[int]:
-        return [shard for shard, holder in enumerate(self.holders) if holder.backend == backend]
+    def shards_by_holder(self) -> dict[str, list[int]]:
+        """Return the shards of each backend, in ascending order."""
+        found: dict[str, list[int]] = {}
+        for shard, holder in enumerate(self.holders):
+            found.setdefault(holder.backend, []).append(shard)
+        return found
 
 
 def rows_of(shards: Iterable[tuple[int, int, str]]) -> list[KeyRow]:
