Sharding: a repeated call of a backend is granted its keys again

Cause: a call whose answer was lost is repeated at another registry under its number, by a backend or by a config store that asked a primary twice; it was taken for a late one and renewed nothing. Safe: leases count from the call's sending, and what a call releases counts only if it came after the one that was answered with the last grant.

--- a/ivymux/sharding/shard_leases.py
+++ b/ivymux/sharding/shard_leases.py
@@ -105,11 +105,14 @@
     # --- calls -------------------------------------------------------------------------------------
 
     def on_call(self, call: HolderCall, now: float) -> list[KeyRow] | None:
-        """Handle a backend's call; return the rows that it is to hold, or None for a late call."""
+        """Handle a backend's call; return the rows that it is to hold, or None for a late call.
+
+        A repeated call is answered anew: its first answer may have been lost on the way.
+        """
         self.now = max(self.now, now)
         self.first_call_at = min(self.first_call_at, self.now)
         known = self.backends.get(call.id)
-        if known is not None and call.call_seq <= known.call_seq:
+        if known is not None and call.call_seq < known.call_seq:
             return None
         is_leaving = call.is_leaving or (known is not None and known.is_leaving)
         self.backends[call.id] = Backend(
