Proxies: messages of a registry by their constants

The proxy's side of the protocol named kinds by literals that message_kinds.py defines. No change of what is sent.

--- a/ivymux/proxy/core_connection.py
+++ b/ivymux/proxy/core_connection.py
@@ -7,6 +7,7 @@
 
 from ivymux.data_plane.limits import Address
 from ivymux.proxy.proxy_list_sources import needs_list_source
+from ivymux.registry import message_kinds as kinds
 from ivymux.runtime.log import Log
 from ivymux.transport.connection import Connection, Connector
 from ivymux.transport.frames import Message
@@ -43,7 +44,7 @@
         settings = self.proxy.settings
         self.sends_proxy_lists = self.sends_proxy_lists or needs_list_source(self.proxy.registry_links())
         connection.send(
-            {"k": "door", "id": self.proxy.id, "ip": settings.ip, "port": settings.proxy_port,
+            {"k": kinds.HELLO, "id": self.proxy.id, "ip": settings.ip, "port": settings.proxy_port,
              "zone": settings.zone, "run": registry.incarnation_id, "n": registry.last_sequence,
              "age": self.proxy.core_connected_seconds(), "lists": self.sends_proxy_lists}
         )  # fmt: skip
@@ -51,7 +52,7 @@
     def request_proxy_lists(self) -> None:
         """Ask the registry for the list of proxies, and for its changes."""
         self.sends_proxy_lists = True
-        self.connector.send({"k": "lists"})
+        self.connector.send({"k": kinds.PROXY_LISTS})
 
     def on_disconnect(self, connection: Connection) -> None:
         self.sends_proxy_lists = False
@@ -73,34 +74,34 @@
     def handle(self, connection: Connection, message: Message) -> None:
         """Handle a message by its kind.  Raises KeyError, TypeError or ValueError if it is malformed."""
         proxy, kind = self.proxy, message["k"]
-        if kind == "news":
+        if kind == kinds.BACKEND_CHANGES:
             self.on_changes(connection, message)
-        elif kind == "here":
+        elif kind == kinds.SNAPSHOT:
             self.on_snapshot(connection, message)
-        elif kind == "doors":
+        elif kind == kinds.PROXY_CHANGES:
             if self.sends_proxy_lists:
                 joined, left = message["on"], message["off"]
                 proxy.membership.update_proxies(self.ip, joined, left, time.monotonic())
                 proxy.on_membership_changed()
-        elif kind == "shun":
+        elif kind == kinds.EJECTION:
             if number := proxy.backend_number(str(message["id"])):
                 seconds = float(message["for"])
                 proxy.host.post(i.Shun(number, min(MAX_EJECTION_S, seconds)))
-        elif kind == "shards":
+        elif kind == kinds.SHARDS:
             service, previous, version = str(message["s"]), int(message["f"]), int(message["v"])
             if not proxy.shard_tables.apply(service, previous, version, message["c"]):
-                connection.send({"k": "shards", "s": service})  # changes are missing
-        elif kind == "cores":
+                connection.send({"k": kinds.SHARDS, "s": service})  # changes are missing
+        elif kind == kinds.CORES:
             proxy.update_cores(message["l"])
-        elif kind == "note":
+        elif kind == kinds.SETTING:
             name, text = str(message["name"]), str(message["t"])
             proxy.on_replicated_setting(name, text)
-        elif kind == "config":
+        elif kind == kinds.CONFIG:
             self.config_version = int(message["v"])
             if self.config_version <= proxy.config_version:
                 self.acknowledge_configuration()
             self.request_configuration()
-        elif kind == "text":
+        elif kind == kinds.CONFIG_TEXT:
             version, text = int(message["v"]), str(message["t"])
             proxy.apply_configuration(version, text)
             for core in proxy.cores.values():  # any core machine may be waiting to answer the operator
@@ -113,7 +114,7 @@
             self.on_connect(connection)  # changes are missing: request a snapshot
             return
         self.proxy.on_membership_changed()
-        connection.send({"k": "ack", "n": message["n"]})
+        connection.send({"k": kinds.CHANGE_ACK, "n": message["n"]})
 
     def on_snapshot(self, connection: Connection, message: Message) -> None:
         proxy, now = self.proxy, time.monotonic()
@@ -126,14 +127,14 @@
         proxy.membership.apply_snapshot(self.ip, incarnation_id, sequence, complete, backends, proxies, now)
         proxy.update_cores(message["cores"])
         proxy.on_membership_changed()
-        connection.send({"k": "ack", "n": message["n"]})
+        connection.send({"k": kinds.CHANGE_ACK, "n": message["n"]})
         self.acknowledge_configuration()
         self.request_configuration()
 
     def acknowledge_configuration(self) -> None:
         """Report to the registry which configuration is in force at this proxy."""
         if self.proxy.config_version >= 0 and self.is_connected:
-            self.connector.send({"k": "have", "v": self.proxy.config_version})
+            self.connector.send({"k": kinds.CONFIG_APPLIED, "v": self.proxy.config_version})
 
     def request_configuration(self, is_delayed: bool = False) -> None:
         """Request a newer configuration, from a core machine of the same zone first."""
@@ -151,4 +152,4 @@
             proxy.loop.call_later(SAME_ZONE_DELAY_S, self.request_configuration, True)
             return
         proxy.configuration_requested_at, proxy.requested_version = now, self.config_version
-        self.connector.send({"k": "want"})
+        self.connector.send({"k": kinds.CONFIG_REQUEST})
