--- a/ivymux/config_store/calls.py
+++ b/ivymux/config_store/calls.py
@@ -74,8 +74,15 @@
     released: list[Any]  # rows of first key, last key, handover code
 
 
-AnyCall = PutConfiguration | ClaimAction | EndAction | PutSetting | ReadSetting | ReportHoldings
-TAGS = frozenset(("put", "claim", "end", "note", "read", "hold"))
+class ReportLoads(Call, frozen=True, tag="load"):
+    """Report how many requests on each shard of a service proxies have had since the last report."""
+
+    service: str
+    counts: list[tuple[int, int]]  # shards and requests
+
+
+AnyCall = PutConfiguration | ClaimAction | EndAction | PutSetting | ReadSetting | ReportHoldings | ReportLoads
+TAGS = frozenset(("put", "claim", "end", "note", "read", "hold", "load"))
 
 
 def encode(call: Call) -> dict[str, Any]:
--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -21,7 +21,7 @@
     Send,
     may_overtake,
 )
-from ivymux.config_store.calls import ReportHoldings
+from ivymux.config_store.calls import ReportHoldings, ReportLoads
 from ivymux.config_store.changes import NO_VERSION
 from ivymux.config_store.durable_store import FOLDER, DurableStore, DurableStoreError, sync_folder
 from ivymux.config_store.isolation import IsolationDetector
@@ -371,7 +371,7 @@
         self.calls[call_id] = completed
         try:
             call = calls.decode(message)
-            if isinstance(call, ReportHoldings):
+            if isinstance(call, ReportHoldings | ReportLoads):
                 answer = self.shards.on_call(call, time.monotonic())
                 return answer if answer is not None else await self.forward_call(message, deadline)
             reply = self.replica.handle_call(time.monotonic(), call_id, call)
--- a/ivymux/config_store/shard_service.py
+++ b/ivymux/config_store/shard_service.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple, Protocol
 
-from ivymux.config_store.calls import PutSetting, ReportHoldings
+from ivymux.config_store.calls import PutSetting, ReportHoldings, ReportLoads
 from ivymux.config_store.records import ReplicatedSetting
 from ivymux.sharding import SETTING_PREFIX, ShardingError
 from ivymux.sharding.shard_leases import HolderCall, ShardLeases
@@ -83,10 +83,18 @@
             self.services[service] = ServiceShards(leases, version)
         return self.services[service]
 
-    def on_call(self, call: ReportHoldings, now: float) -> dict[str, Any] | None:
-        """Answer a backend's call; None where this machine does not lead.  Raises ShardingError."""
+    def on_call(self, call: ReportHoldings | ReportLoads, now: float) -> dict[str, Any] | None:
+        """Answer a call about shards; None where this machine does not lead.  Raises ShardingError."""
         if not self.update_leadership(now):
             return None
+        if isinstance(call, ReportLoads):
+            if call.service in self.services:
+                self.services[call.service].leases.loads.add(call.counts, now)
+            return {"ok": True}
+        return self.on_holdings(call, now)
+
+    def on_holdings(self, call: ReportHoldings, now: float) -> dict[str, Any]:
+        """Answer a backend with the keys that it is to hold.  Raises ShardingError."""
         holder = HolderCall(
             call.id,
             call.address,
--- a/ivymux/proxy/frontend.py
+++ b/ivymux/proxy/frontend.py
@@ -190,6 +190,7 @@
         number = self.backend_number(holder)
         if not number:
             raise BadRequest("no backend holds this key just now", 503)
+        self.shard_tables.count_request(service, key)
         return number
 
     def refusal(self, error: BadRequest) -> Answer:
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -31,6 +31,7 @@
 from ivymux.proxy.proxy_list_sources import RegistryLink, further_list_sources
 from ivymux.proxy.shard_tables import ShardTables
 from ivymux.proxy.status_pages import METRICS, READINESS, StatusPagesFrontend
+from ivymux.registry import message_kinds as kinds
 from ivymux.routing_config.route_plan import RoutingConfigError, parse_route_plan
 from ivymux.runtime.clock import SystemClock
 from ivymux.runtime.early_listener import keep_matching
@@ -355,6 +356,7 @@
         except MembershipError:
             pass
         self.failure_reporter.sample()
+        self.report_shard_loads()
         self.request_counts.append(
             (time.monotonic(), self.host.request_count, self.host.refusal_log.refusals.count_unserved())
         )
@@ -363,6 +365,14 @@
         self.log_summaries()
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.sweep)
 
+    def report_shard_loads(self) -> None:
+        """Report the requests by shard to the nearest registry, which adds up those of its proxies."""
+        connectors = self.core_connectors()
+        if not connectors:
+            return
+        for service, counts in self.shard_tables.drain_requests().items():
+            connectors[0].send({"k": kinds.SHARD_LOADS, "s": service, "c": counts})
+
     def log_summaries(self) -> None:
         """Log summaries of refusals, client departures and claims, each at most once per LOG_INTERVAL_S."""
         refusals, departures = self.host.refusal_log.refusals, self.host.departures
--- a/ivymux/proxy/shard_tables.py
+++ b/ivymux/proxy/shard_tables.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -16,6 +17,7 @@
 
     version: int = ALL
     holders: list[str] = field(default_factory=lambda: [""] * SHARDS)
+    requests: Counter[int] = field(default_factory=Counter)  # by shard, since the last `drain_requests`
 
 
 @dataclass(slots=True)
@@ -49,3 +51,16 @@
             return None
         table = self.services.get(service)
         return table.holders[shard_of(int(key))] if table is not None else ""
+
+    def count_request(self, service: str, key: bytes) -> None:
+        """Count a request on a key that has a holder."""
+        self.services[service].requests[shard_of(int(key))] += 1
+
+    def drain_requests(self) -> dict[str, list[tuple[int, int]]]:
+        """Return the requests by service and shard since the last call."""
+        found = {}
+        for service, table in self.services.items():
+            if table.requests:
+                found[service] = list(table.requests.items())
+                table.requests = Counter()
+        return found
--- a/ivymux/registry/message_kinds.py
+++ b/ivymux/registry/message_kinds.py
@@ -10,6 +10,7 @@
 # to send lists of proxies; without this key, they are sent.
 HELLO = "door"
 SHARDS = "shards"  # s: a service; asks for the holders of all its shards
+SHARD_LOADS = "loads"  # s: a service, c: shards and their requests since the last such message
 PROXY_LISTS = "lists"  # asks for the list of proxies and its changes
 CHANGE_ACK = "ack"  # n: the change of backends
 CONFIG_APPLIED = "have"  # v: the version
--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -7,15 +7,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import secrets
 import time
+from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from typing import Any
 
 import msgspec
 
-from ivymux.config_store.calls import ReportHoldings, encode
+from ivymux.config_store.calls import ReportHoldings, ReportLoads, encode
 from ivymux.data_plane.frontend import Answer
 from ivymux.data_plane.limits import Address, Bounds
 from ivymux.data_plane.server import Server
@@ -58,6 +60,7 @@
 
 MAX_SILENT_HEARTBEATS = 2.3  # heartbeat periods without a call after which a backend counts as lost
 EXPIRY_INTERVAL_S = 0.25
+LOADS_INTERVAL_S = 1.0  # between two reports of requests by shard
 HOLDINGS_TIMEOUT_S = 0.7  # of a call about a backend's keys; backends wait a second
 ACK_TIMEOUT_S = 0.45  # for the proxies to acknowledge a change of a backend
 FORWARD_TIMEOUT_S = 0.88  # of a proxy's call that the config store answers
@@ -135,6 +138,8 @@
         self.config_version = -1
         self.config_text = ""
         self.encoded_config = b""  # the message with the configuration, encoded once for all proxies
+        self.shard_loads: dict[str, Counter[int]] = {}  # requests by service and shard, not reported yet
+        self.loads_reported_at = 0.0
         self.apply_waiters: list[tuple[int, asyncio.Future[None]]] = []  # by configuration version
         self.replicated_settings: dict[str, tuple[int, str]] = {}  # versions and texts by name
         self.cores: list[str] = [settings.ip]
@@ -171,6 +176,19 @@
             before = self.backends.last_change
             if self.backends.expire(time.monotonic()):
                 self.broadcast_changes(before)
+            if self.shard_loads and time.monotonic() - self.loads_reported_at > LOADS_INTERVAL_S:
+                self.report_shard_loads()
+
+    def report_shard_loads(self) -> None:
+        """Report the proxies' counts of requests by shard to the primary; a lost report is not repeated."""
+        self.loads_reported_at, loads = time.monotonic(), self.shard_loads
+        self.shard_loads = {}
+        for service, counts in loads.items():
+            self.spawn(self.send_shard_loads(ReportLoads(service, list(counts.items()))))
+
+    async def send_shard_loads(self, report: ReportLoads) -> None:
+        with contextlib.suppress(TransportError):
+            await self.config_store.call(encode(report), HOLDINGS_TIMEOUT_S)
 
     # --- messages of proxies -----------------------------------------------------------------------------
 
@@ -204,6 +222,9 @@
             self.release_apply_waiters()
         elif kind == kinds.CONFIG_REQUEST and self.config_version >= 0:
             connection.write(self.encoded_config)
+        elif kind == kinds.SHARD_LOADS:
+            loads = self.shard_loads.setdefault(str(message["s"]), Counter())
+            loads.update({int(shard): int(count) for shard, count in message["c"]})
         elif kind == kinds.SHARDS:
             self.send_setting(proxy, SETTING_PREFIX + str(message["s"]))
         elif kind == kinds.PROXY_LISTS:
--- a/ivymux/sharding/assignment.py
+++ b/ivymux/sharding/assignment.py
@@ -3,14 +3,14 @@
 Every backend has a rank for every shard, by a hash of both.  A shard stays where it is unless its holder is
 gone or holds too much; otherwise it goes to the backend with the highest rank that has room.  A backend that
 holds too little, as one that was just added, takes the shards for which it ranks highest.  So a change of one
-backend among n moves about one shard in n.
+backend among n moves about one shard in n.  What a backend holds is counted by the shards' costs: hot shards
+count for several.
 """
 
 from __future__ import annotations
 
 import functools
 import math
-from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
@@ -47,61 +47,82 @@
 class Assignment:
     """An assignment that is being made."""
 
-    def __init__(self, current: Sequence[str], candidates: Iterable[Candidate]) -> None:
+    def __init__(
+        self, current: Sequence[str], candidates: Iterable[Candidate], costs: Sequence[float]
+    ) -> None:
+        self.costs = costs
         self.candidates = {candidate.id: candidate for candidate in candidates}
-        total = sum(candidate.weight for candidate in self.candidates.values())
-        self.fair = {c.id: SHARDS * c.weight / total for c in self.candidates.values()}
+        weight = sum(candidate.weight for candidate in self.candidates.values())
+        self.fair = {c.id: sum(costs) * c.weight / weight for c in self.candidates.values()}
         self.group_size = max(1, SHARDS // (MAX_RANGES * len(self.candidates)))
         self.holders = [holder if holder in self.candidates else "" for holder in current]
-        self.loads = Counter(holder for holder in self.holders if holder)
+        self.loads = dict.fromkeys(["", *self.candidates], 0.0)
+        for shard, holder in enumerate(self.holders):
+            self.loads[holder] += costs[shard]
 
     def rank(self, id: str, shard: int) -> float:
         return rank(self.candidates[id], shard // self.group_size)
 
     def give(self, shard: int, id: str) -> None:
-        if self.holders[shard]:
-            self.loads[self.holders[shard]] -= 1
+        self.loads[self.holders[shard]] -= self.costs[shard]
         self.holders[shard] = id
-        self.loads[id] += 1
+        self.loads[id] += self.costs[shard]
 
     def shed_excess(self) -> None:
-        """Take the shards for which it ranks lowest from each backend that holds too much."""
-        for id in self.candidates:
-            excess = self.loads[id] - math.ceil(MAX_KEPT_LOAD * self.fair[id])
-            if excess > 0:
-                held = [shard for shard, holder in enumerate(self.holders) if holder == id]
-                for shard in sorted(held, key=lambda shard: self.rank(id, shard))[:excess]:
-                    self.holders[shard] = ""
-                    self.loads[id] -= 1
+        """Take the shards for which it ranks lowest from each backend that holds too much.
+
+        A shard that costs more than a fair share by itself stays: it would be too much anywhere.
+        """
+        for id, fair in self.fair.items():
+            if self.loads[id] <= MAX_KEPT_LOAD * fair:
+                continue
+            held = [shard for shard, holder in enumerate(self.holders) if holder == id]
+            for shard in sorted(held, key=lambda shard: self.rank(id, shard)):
+                if self.loads[id] > MAX_LOAD * fair and self.costs[shard] <= fair:
+                    self.give(shard, "")
 
     def place_rest(self) -> None:
         """Give each shard without a holder to the backend with the highest rank that has room."""
-        for shard in [shard for shard, holder in enumerate(self.holders) if not holder]:
-            free = [id for id, fair in self.fair.items() if self.loads[id] < math.ceil(MAX_LOAD * fair)]
-            self.give(shard, max(free, key=lambda id: (self.rank(id, shard), id)))
+        rest = [shard for shard, holder in enumerate(self.holders) if not holder]
+        for shard in sorted(rest, key=lambda shard: -self.costs[shard]):
+            free = [
+                id
+                for id, fair in self.fair.items()
+                if self.loads[id] + self.costs[shard] <= MAX_LOAD * fair + 1
+            ]
+            if free:
+                self.give(shard, max(free, key=lambda id: (self.rank(id, shard), id)))
+            else:
+                self.give(shard, min(self.fair, key=lambda id: (self.loads[id] / self.fair[id], id)))
 
     def fill_low(self) -> None:
         """Give shards to the backends that hold too little, from those that hold more than their share."""
         for id in sorted(self.candidates):
-            missing = math.floor(MIN_LOAD * self.fair[id]) - self.loads[id]
+            missing = MIN_LOAD * self.fair[id] - self.loads[id]
             if missing <= 0:
                 continue
             for shard in sorted(range(SHARDS), key=lambda shard: -self.rank(id, shard)):
-                holder = self.holders[shard]
-                if missing > 0 and holder != id and self.loads[holder] > self.fair[holder]:
+                holder, cost = self.holders[shard], self.costs[shard]
+                if holder != id and cost <= missing and self.loads[holder] > self.fair[holder]:
                     self.give(shard, id)
-                    missing -= 1
+                    missing -= cost
+
+
+EQUAL_COSTS = (1.0,) * SHARDS
 
 
-def assign(current: Sequence[str], candidates: Iterable[Candidate]) -> list[str]:
+def assign(
+    current: Sequence[str], candidates: Iterable[Candidate], costs: Sequence[float] = EQUAL_COSTS
+) -> list[str]:
     """Return the backend that should hold each shard; all are empty if there is no candidate.
 
-    `current`: the present holder of each shard, empty if it has none.
+    `current`: the present holder of each shard, empty if it has none; `costs`: of each shard, relative to
+    their mean.
     """
     candidates = list(candidates)
     if not candidates:
         return [""] * SHARDS
-    assignment = Assignment(current, candidates)
+    assignment = Assignment(current, candidates, costs)
     assignment.shed_excess()
     assignment.place_rest()
     assignment.fill_low()
--- a/ivymux/sharding/shard_leases.py
+++ b/ivymux/sharding/shard_leases.py
@@ -18,6 +18,7 @@
 
 from ivymux.sharding import SHARDS
 from ivymux.sharding.assignment import Candidate, assign
+from ivymux.sharding.shard_loads import ShardLoads
 from ivymux.sharding.shard_table import (
     KeyRow,
     ShardHolder,
@@ -86,6 +87,7 @@
     now: float
     backends: dict[str, Backend] = field(default_factory=dict)
     leases: list[ShardLease] = field(default_factory=list)
+    loads: ShardLoads = field(default_factory=ShardLoads)
     first_call_at: float = math.inf
     rebalance_at: float = 0.0
     proposed: ShardTable | None = None  # being stored; its changes may come into force at any time
@@ -202,7 +204,7 @@
             lease.next_holder or holder.backend
             for lease, holder in zip(self.leases, self.table.holders, strict=True)
         ]
-        wanted = assign(current, candidates)
+        wanted = assign(current, candidates, self.loads.costs())
         moving = sum(bool(lease.next_holder) for lease in self.leases)
         for shard, holder in enumerate(self.table.holders):
             lease = self.leases[shard]
--- a/ivymux/simulation/shard_model.py
+++ b/ivymux/simulation/shard_model.py
@@ -19,6 +19,7 @@
 LEASE_S = 4.0
 ANSWER_TIMEOUT_S = 1.0
 RELEASE_CALL_S = 0.1  # after an answer that leaves out keys, when a backend calls again
+HOT_SHARDS, HOT_REQUESTS = 20, 200  # neighbours that become busy, and the requests on each
 MakeLeases = Callable[[ShardTable, float], ShardLeases]
 
 
@@ -207,6 +208,11 @@
         elif draw < 0.9 and len(self.backends) > 3:
             backend.is_leaving = True
             self.after(5.0, lambda: self.remove(backend))
+        elif self.primary is not None:
+            hot = self.random.randrange(SHARDS - HOT_SHARDS)
+            self.primary.loads.add(
+                [(shard, HOT_REQUESTS) for shard in range(hot, hot + HOT_SHARDS)], self.now
+            )
 
     def remove(self, backend: ModelBackend) -> None:
         self.backends.pop(backend.id, None)
--- a/tests/config_store/test_shard_service.py
+++ b/tests/config_store/test_shard_service.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from ivymux.config_store.calls import ReportHoldings
+from ivymux.config_store.calls import ReportHoldings, ReportLoads
 from ivymux.config_store.records import ReplicatedSetting
 from ivymux.config_store.shard_service import ShardService
 from ivymux.sharding import SETTING_PREFIX, SHARDS
@@ -88,3 +88,13 @@
     assert core.call("a", 4.1) == 0
     core.service.on_stored(stored)
     assert core.service.services["archive"].leases.table == ShardTable()
+
+
+def test_loads_count_for_known_services_at_the_primary_alone() -> None:
+    core = Core()
+    core.call("a", 0.0)
+    assert core.service.on_call(ReportLoads("archive", [(3, 50)]), 1.0) == {"ok": True}
+    assert core.service.services["archive"].leases.loads.counts[3] == 50
+    assert core.service.on_call(ReportLoads("unknown", [(3, 50)]), 1.0) == {"ok": True}
+    core.replica.leads, core.replica.step_downs = False, 1
+    assert core.service.on_call(ReportLoads("archive", [(3, 50)]), 2.0) is None
--- a/tests/proxy/test_shard_tables.py
+++ b/tests/proxy/test_shard_tables.py
@@ -56,3 +56,12 @@
     with pytest.raises((TypeError, ValueError)):
         tables.apply("archive", -1, 1, changes)
     assert tables.holder("archive", b"0") == ""
+
+
+def test_requests_are_counted_by_shard_until_they_are_reported() -> None:
+    tables = ShardTables()
+    apply(tables, shard_message(NAME, 1, FIRST.encode()))
+    for key in (b"0", b"1", str(KEYS - 1).encode()):
+        tables.count_request("archive", key)
+    assert tables.drain_requests() == {"archive": [(0, 2), (SHARDS - 1, 1)]}
+    assert tables.drain_requests() == {}
--- a/tests/sharding/test_assignment.py
+++ b/tests/sharding/test_assignment.py
@@ -57,3 +57,23 @@
 
 def test_without_a_backend_no_shard_has_a_holder() -> None:
     assert assign(["i-1"] * SHARDS, []) == NONE
+
+
+def test_a_hot_shards_holder_keeps_little_else() -> None:
+    before = assign(NONE, backends(20))
+    hot = before.index("i-3")
+    costs = [1.0] * SHARDS
+    costs[hot] = 60.0  # twice a fair share
+    after = assign(before, backends(20), costs)
+    assert after[hot] == "i-3"  # it would be too much anywhere
+    assert after.count("i-3") == 1
+    assert all(before[shard] == "i-3" for shard in range(SHARDS) if before[shard] != after[shard])
+
+
+def test_warm_shards_are_spread_by_their_costs() -> None:
+    costs = [4.0 if shard < 64 else 1.0 for shard in range(SHARDS)]
+    loads: Counter[str] = Counter()
+    for shard, holder in enumerate(assign(NONE, backends(16), costs)):
+        loads[holder] += int(costs[shard])
+    fair = sum(costs) / 16
+    assert all(MIN_LOAD * fair - 4 <= load <= MAX_LOAD * fair + 1 for load in loads.values())
