--- a/ivymux/proxy/membership_view.py
+++ b/ivymux/proxy/membership_view.py
@@ -229,11 +229,11 @@
 
     def expire_backends(self, now: float) -> None:
         """Expire backends that no registry hears any more, only while at least one is connected."""
-        if not self.is_connected():
+        connected = {name for name, registry in self.registries.items() if registry.connected}
+        if not connected:
             return
         for backend in list(self.backends.values()):
-            is_listed = any(report.state != LOST for report in self.connected_reports(backend))
-            if is_listed and backend.state not in (OFF, LOST):
+            if backend.state not in (OFF, LOST) and is_listed(backend, connected):
                 backend.last_listed_at = now
                 continue
             unlisted_for = now - backend.last_listed_at
@@ -283,3 +283,8 @@
     def is_connected(self) -> bool:
         """Whether any registry is connected."""
         return any(registry.connected for registry in self.registries.values())
+
+
+def is_listed(backend: Backend, registries: set[str]) -> bool:
+    """Whether any of some registries lists a backend as alive."""
+    return any(name in registries and report.state != LOST for name, report in backend.reports.items())
