--- a/tests/registry/test_applied.py
+++ b/tests/registry/test_applied.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from pathlib import Path
 
 from ivymux.registry.program import Registry
@@ -10,6 +11,7 @@
 from ivymux.simulation.local_cluster import LocalCluster
 from ivymux.transport.connection import Connection
 from ivymux.transport.frames import FrameDecoder, Message
+from ivymux.transport.http_calls import HttpRequest
 
 from ..sockets import run, until
 
@@ -115,3 +117,39 @@
         await cluster.close()
 
     run(test())
+
+
+def test_a_registry_adds_up_its_proxies_counts_of_requests_by_shard(tmp_path: Path) -> None:
+    async def test() -> None:
+        cluster = LocalCluster(tmp_path)
+        registry = Registry(load(cluster.write_settings(cluster.core_ips[0], True)))
+        for number in range(2):
+            connection = connect_proxy(registry, number)
+            registry.handle_message(connection, {"k": "loads", "s": "archive", "c": [[3, 2], [9, number]]})
+        assert registry.shard_loads == {"archive": {3: 4, 9: 1}}
+        registry.report_shard_loads()  # a report that cannot be sent is not repeated
+        await until(lambda: not registry.forwarded_calls)
+        assert not registry.shard_loads
+        await registry.stop()
+        await cluster.close()
+
+    run(test())
+
+
+def test_a_backend_that_holds_keys_is_sent_to_another_machine_without_a_primary(tmp_path: Path) -> None:
+    async def test() -> None:
+        cluster = LocalCluster(tmp_path)
+        registry = Registry(load(cluster.write_settings(cluster.core_ips[0], True)))
+        body = {
+            "service_name": "archive", "address": "10.0.0.9:80", "zone_name": "hall", "capacity": 2,
+            "oper_state": "in_service", "call_seq": 1,
+        }  # fmt: skip
+        plain = await registry.put_backend(HttpRequest("i-1", json.dumps(body).encode()))
+        assert plain.status == 200
+        with_keys = {**body, "call_seq": 2, "holdings": []}
+        answer = await registry.put_backend(HttpRequest("i-1", json.dumps(with_keys).encode()))
+        assert answer.status == 503 and registry.backends.records["i-1"].call_seq == 2
+        await registry.stop()
+        await cluster.close()
+
+    run(test())
