--- a/tests/registry/test_applied.py
+++ b/tests/registry/test_applied.py
@@ -67,17 +67,23 @@
         self.written.extend(FrameDecoder().feed(data))
 
 
+def connect_recording_proxy(registry: Registry, **fields: bool) -> RecordingConnection:
+    """Register a proxy without a socket, which says `fields` besides; return its connection."""
+    connection = RecordingConnection(registry.on_message, on_disconnect=registry.on_disconnect)
+    connection.written = []
+    connection.is_connected = True
+    message = {"id": "d", "ip": "127.0.0.8", "port": 1, "zone": "hall", "run": "", "n": 0, **fields}
+    registry.add_proxy(connection, message)
+    return connection
+
+
 def test_proxies_that_join_together_are_announced_together(tmp_path: Path) -> None:
     """When a whole fleet starts, no proxy gets a message for each other proxy."""
 
     async def test() -> None:
         cluster = LocalCluster(tmp_path)
         registry = Registry(load(cluster.write_settings(cluster.core_ips[0], True)))
-        first = RecordingConnection(registry.on_message, on_disconnect=registry.on_disconnect)
-        first.written = []
-        first.is_connected = True
-        message = {"id": "d", "ip": "127.0.0.8", "port": 1, "zone": "hall", "run": "", "n": 0}
-        registry.add_proxy(first, message)
+        first = connect_recording_proxy(registry)
         first.written.clear()
         connections = [connect_proxy(registry, number) for number in range(40)]
         connections[7].abort()
@@ -98,11 +104,7 @@
     async def test() -> None:
         cluster = LocalCluster(tmp_path)
         registry = Registry(load(cluster.write_settings(cluster.core_ips[0], True)))
-        first = RecordingConnection(registry.on_message, on_disconnect=registry.on_disconnect)
-        first.written = []
-        first.is_connected = True
-        message = {"id": "d", "ip": "127.0.0.8", "port": 1, "zone": "hall", "run": "", "n": 0, "lists": False}
-        registry.add_proxy(first, message)
+        first = connect_recording_proxy(registry, lists=False)
         connect_proxy(registry, 1)
         await until(lambda: not registry.unannounced and registry.announce_timer is None)
         assert first.written[0]["doors"] == []
