Programs: the log says when and why a process ends, and fatal signals leave a trace

Each program logs its start (version, process, Python, machine) and its end with the reason; faulthandler writes the stacks at a fatal signal. tests/runtime/test_ends.py fails without it for all three signals.

--- a/ivymux/runtime/program.py
+++ b/ivymux/runtime/program.py
@@ -4,9 +4,13 @@
 
 import asyncio
 import contextlib
+import faulthandler
 import gc
+import os
 import signal
 import socket
+import sys
+import time
 from collections.abc import Callable, Sequence
 from functools import partial
 from pathlib import Path
@@ -15,6 +19,7 @@
 import uvloop
 from absl import flags
 
+from ivymux import __version__
 from ivymux.data_plane.limits import ConfigError
 from ivymux.runtime import log as logs
 from ivymux.runtime.settings import Settings, load, settings_path
@@ -40,8 +45,8 @@
 
 async def serve(
     create: Callable[[Settings], Program], settings: Settings, path: Path, fingerprint: object
-) -> None:
-    """Run a program until SIGTERM or SIGINT.  Raises ConfigError if it can't listen.
+) -> signal.Signals:
+    """Run a program until SIGTERM or SIGINT; return which it was.  Raises ConfigError if it can't listen.
 
     Settings are reloaded on SIGHUP, and when the file at `path` changes.  `fingerprint`: of the file, taken
     before `settings` were read from it, so that no change in between is missed; SIGHUP is ignored until the
@@ -49,8 +54,14 @@
     """
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
+    received: list[signal.Signals] = []
+
+    def stop(number: signal.Signals) -> None:
+        received.append(number)
+        stopping.set()
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+        loop.add_signal_handler(number, stop, number)
     program = create(settings)
     log = logs.Log("station")
 
@@ -86,6 +97,7 @@
     await stopping.wait()
     watcher.cancel()
     await program.stop()
+    return received[0]
 
 
 def file_fingerprint(path: Path) -> object:
@@ -118,9 +130,39 @@
             print(f"{path}: valid")
             return 0
         logs.start()
-        uvloop.run(serve(program_factory(role, early), settings, path, fingerprint))
+        return run(role, early, settings, path, fingerprint)
     except ConfigError as error:
         return logs.fail(error)
+
+
+def run(role: str, early: socket.socket | None, settings: Settings, path: Path, fingerprint: object) -> int:
+    """Serve, and log the start and the reason of the end; return the exit code.  Raises ConfigError.
+
+    A fatal signal, such as SIGSEGV or SIGBUS, writes the threads' stacks to standard error.
+    """
+    faulthandler.enable()
+    log = logs.Log(role)
+    version = ".".join(map(str, sys.version_info[:3]))
+    log.info(
+        f"starts ivymux {__version__} as process {os.getpid()}, Python {version} on {os.uname().machine}."
+    )
+    started_at = time.monotonic()
+
+    def log_end(why: str) -> None:
+        log.info(f"ends after {time.monotonic() - started_at:.1f} s: {why}.")
+
+    try:
+        number = uvloop.run(serve(program_factory(role, early), settings, path, fingerprint))
+    except SystemExit as ended:
+        log_end(f"exit code {ended.code}")
+        raise
+    except ConfigError:
+        log_end("it cannot run with these settings")
+        raise
+    except BaseException as error:
+        log_end(f"unexpected {type(error).__name__}")
+        raise
+    log_end(f"{number.name} was received")
     return 0
 
 
--- /dev/null
+++ b/tests/runtime/test_ends.py
@@ -0,0 +1,50 @@
+"""What a program's log says about its start and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import pytest
+
+from ivymux.simulation.local_cluster import ROOT, LocalCluster
+
+from ..sockets import run
+
+
+async def log_of_ended_proxy(folder: Path, number: signal.Signals) -> tuple[int, str]:
+    """Start a proxy, send it a signal once it listens, and return its exit code and its output."""
+    cluster = LocalCluster(folder)
+    path = cluster.write_settings(cluster.proxy_ips[0], True)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "ivymux", "proxy", "--settings", str(path), cwd=ROOT,
+        stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
+    )  # fmt: skip
+    assert process.stdout is not None
+    lines = []
+    while b"listening on" not in (line := await process.stdout.readline()):
+        lines.append(line)
+    process.send_signal(number)
+    lines.append(await process.stdout.read())
+    await cluster.close()
+    return await process.wait(), b"".join(lines).decode()
+
+
+@pytest.mark.parametrize(
+    ("number", "code", "reason"),
+    [
+        (signal.SIGTERM, 0, "SIGTERM was received"),
+        (signal.SIGBUS, -signal.SIGBUS, "Fatal Python error: Bus error"),
+        (signal.SIGSEGV, -signal.SIGSEGV, "Fatal Python error: Segmentation fault"),
+    ],
+)
+def test_a_program_that_ends_says_why(tmp_path: Path, number: signal.Signals, code: int, reason: str) -> None:
+    async def test() -> None:
+        ended, log = await log_of_ended_proxy(tmp_path, number)
+        assert ended == code
+        assert "proxy: starts ivymux " in log
+        assert reason in log
+
+    run(test())
