Starts: a program waits for its addresses and its settings instead of ending

Cause: a start treated conditions that pass by themselves as final. A config store also read its disk before it held its address, so that two processes could have used one data folder.

All addresses are now listened on before the program is created, all or none, for up to grace + 10 s; whoever holds them is the only user of the data folder. A missing address is named by the error instead of a KeyError.

--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -31,6 +31,7 @@
 from ivymux.config_store.shard_service import ShardService, StoredTable
 from ivymux.config_store.timing import LEASE_S
 from ivymux.data_plane.limits import Address
+from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
 from ivymux.transport.connection import Connection, Connector, Listener, TransportError
@@ -58,8 +59,12 @@
 class ConfigStore:
     """The config store of one core machine: hosts its replica and carries out the replica's actions."""
 
-    def __init__(self, settings: Settings) -> None:
-        """Load the replica's state from disk.  Raises DurableStoreError."""
+    def __init__(self, settings: Settings, sockets: ListeningSockets | None = None) -> None:
+        """Load the replica's state from disk.  Raises DurableStoreError.
+
+        `sockets`: listen already at the address.  Whoever holds it is the only user of the data folder.
+        """
+        self.sockets = sockets or ListeningSockets()
         self.settings = settings
         if settings.data_path is None:
             raise DurableStoreError(
@@ -102,9 +107,15 @@
         version = durable.state.version if durable.state else "none"
         log.info(f"starts as {durable.identity} with {epoch}, version {version}.")
 
+    @staticmethod
+    def listen_addresses(settings: Settings) -> tuple[Address, ...]:
+        """Return the addresses that a config store listens at."""
+        return (Address(settings.ip, settings.config_store_port),)
+
     async def start(self) -> None:
         """Listen for connections and start the replica's timer."""
-        await self.listener.start(Address(self.settings.ip, self.settings.config_store_port))
+        (address,) = self.listen_addresses(self.settings)
+        await self.listener.start(address, self.sockets.take(address))
         self.spawn(self.run())
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -5,7 +5,6 @@
 import asyncio
 import math
 import secrets
-import socket
 import time
 from collections import deque
 from typing import TYPE_CHECKING, cast
@@ -34,7 +33,7 @@
 from ivymux.registry import message_kinds as kinds
 from ivymux.routing_config.route_plan import RoutingConfigError, parse_route_plan
 from ivymux.runtime.clock import SystemClock
-from ivymux.runtime.early_listener import keep_matching
+from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
 from ivymux.transport.connection import Connector, Listener
@@ -73,9 +72,10 @@
 class Proxy:
     """One proxy process; `runtime.program` starts, reloads and stops it."""
 
-    def __init__(self, settings: Settings, early_socket: socket.socket | None = None) -> None:
-        """`early_socket`: listens already; clients may have connected to it before this process was ready."""
+    def __init__(self, settings: Settings, sockets: ListeningSockets | None = None) -> None:
+        """`sockets`: listen already; clients may have connected to them before this process was ready."""
         self.settings = settings
+        self.sockets = sockets or ListeningSockets()
         self.loop = asyncio.get_running_loop()
         self.id = f"{settings.ip}:{settings.proxy_port}"
         now = time.monotonic()
@@ -122,16 +122,16 @@
             self.backend_number,
             self.shard_tables,
         )
-        listen = settings.listen_addresses["front_addr"]
-        self.server = Server(self.frontend, listen, bounds, self.host)
-        self.server.listening_socket = keep_matching(early_socket, listen.host, listen.port)
+        self.server = Server(self.frontend, settings.listen_address("front_addr"), bounds, self.host)
+        self.server.listening_socket = self.sockets.take(self.server.listen)
         status_bounds = Bounds(64, 8, 0, 1 << 16)
         self.ready_server = Server(
             StatusPagesFrontend({READINESS: self.answer_readiness}),
-            settings.listen_addresses["ready_addr"],
+            settings.listen_address("ready_addr"),
             status_bounds,
             None,
         )
+        self.ready_server.listening_socket = self.sockets.take(self.ready_server.listen)
         self.metrics_server: Server | None = None
         if settings.metrics_port is not None:
             address = Address(settings.ip, settings.metrics_port)
@@ -240,9 +240,19 @@
 
     # --- the core ----------------------------------------------------------------------------------------
 
+    @staticmethod
+    def listen_addresses(settings: Settings) -> tuple[Address, ...]:
+        """Return the addresses without which a proxy does not start.  Raises SettingsError."""
+        return (
+            Address(settings.ip, settings.proxy_port),
+            settings.listen_address("ready_addr"),
+            settings.listen_address("front_addr"),
+        )
+
     async def start(self) -> None:
         """Start serving.  Raises OSError if an address cannot be listened on."""
-        await self.listener.start(Address(self.settings.ip, self.settings.proxy_port))
+        address = Address(self.settings.ip, self.settings.proxy_port)
+        await self.listener.start(address, self.sockets.take(address))
         self.add_cores([address.host for address in self.settings.seed_addresses])
         await self.ready_server.start()
         await self.start_metrics_server()
--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -37,6 +37,7 @@
 from ivymux.registry.shard_updates import is_shard_table, shard_message
 from ivymux.registry.trial_endpoints import TrialEndpoints
 from ivymux.routing_config.route_plan import MAX_TEXT_BYTES
+from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
 from ivymux.sharding import SETTING_PREFIX
@@ -118,7 +119,9 @@
 class Registry(OperatorEndpoints, TrialEndpoints):
     """The registry of one core machine."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, sockets: ListeningSockets | None = None) -> None:
+        """`sockets`: listen already at some of the addresses, or at all."""
+        self.sockets = sockets or ListeningSockets()
         self.max_trial_s = settings.max_trial_s
         self.settings = settings
         self.incarnation_id = secrets.token_hex(6)  # change numbers are valid within one incarnation only
@@ -155,16 +158,23 @@
         max_http = min(settings.fd_limit - RESERVED_FDS - max_proxies, MAX_HTTP_CONNECTIONS)
         self.server = Server(
             HttpCallFrontend(self, MAX_TEXT_BYTES),
-            settings.listen_addresses["control_addr"],
+            settings.listen_address("control_addr"),
             Bounds.from_limits(max(MIN_HTTP_CONNECTIONS, max_http), settings.memory_mb),
             self.http_calls.as_host(),
         )
+        self.server.listening_socket = self.sockets.take(self.server.listen)
         self.is_stopping = False
         self.expiry_task: asyncio.Task[None] | None = None
 
+    @staticmethod
+    def listen_addresses(settings: Settings) -> tuple[Address, ...]:
+        """Return the addresses that a registry listens at.  Raises SettingsError."""
+        return Address(settings.ip, settings.registry_port), settings.listen_address("control_addr")
+
     async def start(self) -> None:
         """Listen for proxies and HTTP calls.  Raises OSError."""
-        await self.listener.start(Address(self.settings.ip, self.settings.registry_port))
+        address = Address(self.settings.ip, self.settings.registry_port)
+        await self.listener.start(address, self.sockets.take(address))
         await self.server.start()
         self.expiry_task = asyncio.get_running_loop().create_task(self.expire_backends())
         log.info(f"takes calls on {self.server.listen.host}:{self.server.listen.port}.")
--- a/ivymux/runtime/early_listener.py
+++ b/ivymux/runtime/early_listener.py
@@ -3,7 +3,7 @@
 When all proxies are down, a client that each of them refuses uses up its few attempts.  Importing the YAML
 reader and the settings checks takes a third of a start, so this module recognises one line of the settings
 file without parsing it.  The whole file is read and checked later; a socket that doesn't match the checked
-settings is closed (`keep_matching`).
+settings is closed (`listening_sockets`).
 """
 
 from __future__ import annotations
@@ -42,11 +42,3 @@
         return socket.create_server(address, backlog=BACKLOG) if address is not None else None
     except (KeyError, ValueError, OverflowError, OSError):
         return None
-
-
-def keep_matching(early: socket.socket | None, host: str, port: int) -> socket.socket | None:
-    """Return the socket if it listens at the address in the checked settings; close it otherwise."""
-    if early is not None and early.getsockname() != (host, port):
-        early.close()
-        return None
-    return early
--- a/ivymux/runtime/program.py
+++ b/ivymux/runtime/program.py
@@ -11,8 +11,7 @@
 import socket
 import sys
 import time
-from collections.abc import Callable, Sequence
-from functools import partial
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Protocol
 
@@ -20,11 +19,15 @@
 from absl import flags
 
 from ivymux import __version__
-from ivymux.data_plane.limits import ConfigError
+from ivymux.data_plane.limits import Address, ConfigError
 from ivymux.runtime import log as logs
+from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.settings import Settings, load, settings_path
+from ivymux.runtime.settings_file import file_fingerprint, load_when_written
 
 SETTINGS_POLL_INTERVAL_S = 2.0
+# Beyond `grace`, after which the platform kills a predecessor that still stops.
+LISTEN_MARGIN_S = 10.0
 
 
 class Program(Protocol):
@@ -35,6 +38,14 @@
     async def stop(self) -> None: ...
 
 
+class ProgramType(Protocol):
+    """Creates the program of a role; listens at these addresses before."""
+
+    def listen_addresses(self, settings: Settings) -> Sequence[Address]: ...
+
+    def __call__(self, settings: Settings, sockets: ListeningSockets) -> Program: ...
+
+
 def define_flags(flag_values: flags.FlagValues) -> None:
     """Define the flags of every program of the system."""
     flags.DEFINE_string(
@@ -44,13 +55,17 @@
 
 
 async def serve(
-    create: Callable[[Settings], Program], settings: Settings, path: Path, fingerprint: object
+    program_type: ProgramType,
+    settings: Settings,
+    path: Path,
+    fingerprint: object,
+    sockets: ListeningSockets | None = None,
 ) -> signal.Signals:
     """Run a program until SIGTERM or SIGINT; return which it was.  Raises ConfigError if it can't listen.
 
     Settings are reloaded on SIGHUP, and when the file at `path` changes.  `fingerprint`: of the file, taken
     before `settings` were read from it, so that no change in between is missed; SIGHUP is ignored until the
-    event loop handles it.
+    event loop handles it.  `sockets`: listen already.
     """
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
@@ -62,8 +77,21 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop, number)
-    program = create(settings)
     log = logs.Log("station")
+    sockets = sockets or ListeningSockets()
+    while True:
+        patience_s = settings.shutdown_grace_s + LISTEN_MARGIN_S
+        await sockets.open(program_type.listen_addresses(settings), patience_s, stopping, log)
+        if stopping.is_set():
+            sockets.close()
+            return received[0]
+        if (current := file_fingerprint(path)) == fingerprint:
+            break
+        try:
+            settings, fingerprint = load(path), current  # they changed while this process waited
+        except ConfigError:
+            break  # reported with the next reload
+    program = program_type(settings, sockets)
 
     def reload() -> None:
         apply = getattr(program, "reload", None)
@@ -91,6 +119,7 @@
         await program.start()
     except OSError as error:
         raise ConfigError(f"cannot listen: {error}") from None
+    sockets.close()
     gc.collect()
     gc.freeze()
     watcher = loop.create_task(watch_settings())
@@ -100,15 +129,6 @@
     return received[0]
 
 
-def file_fingerprint(path: Path) -> object:
-    """A value that changes when the file does; None if the file can't be read."""
-    try:
-        found = path.stat()
-    except OSError:
-        return None
-    return found.st_mtime_ns, found.st_size, found.st_ino
-
-
 def main(role: str, arguments: Sequence[str], early: socket.socket | None = None) -> int:
     """Run the program of a role until it is stopped; return its exit code.
 
@@ -124,11 +144,11 @@
         return logs.fail(f"{error}; the flags are --settings FILE and --check")
     try:
         path = settings_path(values.settings)
-        fingerprint = file_fingerprint(path)
-        settings = load(path)
         if values.check:
+            load(path)
             print(f"{path}: valid")
             return 0
+        settings, fingerprint = load_when_written(path)
         logs.start()
         return run(role, early, settings, path, fingerprint)
     except ConfigError as error:
@@ -152,7 +172,10 @@
         log.info(f"ends after {time.monotonic() - started_at:.1f} s: {why}.")
 
     try:
-        number = uvloop.run(serve(program_factory(role, early), settings, path, fingerprint))
+        sockets = ListeningSockets()
+        if early is not None:
+            sockets.add(early)
+        number = uvloop.run(serve(program_type(role), settings, path, fingerprint, sockets))
     except SystemExit as ended:
         log_end(f"exit code {ended.code}")
         raise
@@ -166,12 +189,12 @@
     return 0
 
 
-def program_factory(role: str, early: socket.socket | None = None) -> Callable[[Settings], Program]:
-    """Return what creates the program of a role.  Each role imports only what it needs, to start fast."""
+def program_type(role: str) -> ProgramType:
+    """Return the program of a role.  Each role imports only what it needs, to start fast."""
     if role == "proxy":
         from ivymux.proxy.program import Proxy
 
-        return partial(Proxy, early_socket=early)
+        return Proxy
     if role == "registry":
         from ivymux.registry.program import Registry
 
--- a/ivymux/runtime/settings.py
+++ b/ivymux/runtime/settings.py
@@ -131,6 +131,12 @@
         self.backup_count = max(1, machine_losses(file.terms_table.fault_tolerance))
         self.max_trial_s = seconds(file.trials.longest, "trials.longest")
 
+    def listen_address(self, name: str) -> Address:
+        """Return one of the addresses to listen at.  Raises SettingsError if it is missing."""
+        if name not in self.listen_addresses:
+            raise SettingsError(f"network_table.listen_addrs.{name}: missing; write HOST:PORT")
+        return self.listen_addresses[name]
+
 
 def machine_losses(tolerance: dict[str, Any]) -> int:
     """Return how many machines with a disk may be lost at once.  Raises SettingsError."""
--- a/ivymux/transport/connection.py
+++ b/ivymux/transport/connection.py
@@ -7,11 +7,12 @@
 
 import asyncio
 import itertools
+import socket
 import time
 from collections.abc import Callable
 from typing import Any, cast
 
-from ivymux.data_plane.limits import Address
+from ivymux.data_plane.limits import LISTEN_BACKLOG, Address
 from ivymux.runtime.log import Log
 from ivymux.transport.frames import FrameDecoder, FrameError, FrameTooLargeError, Message, encode_frame
 
@@ -301,10 +302,12 @@
         self.connections: set[Connection] = set()
         self.server: asyncio.Server | None = None
 
-    async def start(self, address: Address) -> int:
-        """Listen at `address`; return the port.  Raises OSError."""
+    async def start(self, address: Address, listening: socket.socket | None = None) -> int:
+        """Listen at `address`, where `listening` may listen already; return the port.  Raises OSError."""
         loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(self.create_protocol, address.host, address.port, backlog=512)
+        if listening is None:
+            listening = socket.create_server((address.host, address.port), backlog=LISTEN_BACKLOG)
+        self.server = await loop.create_server(self.create_protocol, sock=listening, backlog=LISTEN_BACKLOG)
         return int(self.server.sockets[0].getsockname()[1])
 
     def create_protocol(self) -> Connection:
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -14,7 +14,8 @@
 from ivymux.data_plane.server import Server
 from ivymux.proxy.program import MAX_FAILED_CONNECTS, Proxy
 from ivymux.proxy.status_pages import READINESS, StatusPagesFrontend
-from ivymux.runtime.early_listener import find_client_address, keep_matching
+from ivymux.runtime.early_listener import find_client_address
+from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.settings import load
 from ivymux.simulation.local_cluster import LocalCluster
 from ivymux.transport.connection import (
@@ -83,9 +84,14 @@
 def test_an_early_socket_that_differs_from_the_checked_settings_is_closed() -> None:
     listening = socket.create_server(("127.0.0.1", 0))
     port = listening.getsockname()[1]
-    assert keep_matching(listening, "127.0.0.1", port) is listening
-    assert keep_matching(listening, "127.0.0.1", port + 1) is None and listening.fileno() == -1
-    assert keep_matching(None, "127.0.0.1", port) is None
+    sockets = ListeningSockets()
+    sockets.add(listening)
+    assert sockets.take(Address("127.0.0.1", port)) is listening
+    sockets.add(listening)
+    assert sockets.take(Address("127.0.0.1", port + 1)) is None
+    sockets.close()  # as `serve` does once the program has started
+    assert listening.fileno() == -1
+    assert ListeningSockets().take(Address("127.0.0.1", port)) is None
 
 
 def test_reconnects_are_frequent_at_first_and_rare_later() -> None:
--- a/tests/runtime/test_program.py
+++ b/tests/runtime/test_program.py
@@ -9,9 +9,12 @@
 
 import pytest
 
+from ivymux.data_plane.limits import Address
 from ivymux.runtime import program as programs
-from ivymux.runtime.program import file_fingerprint, serve
+from ivymux.runtime.listening_sockets import ListeningSockets
+from ivymux.runtime.program import serve
 from ivymux.runtime.settings import Settings, load
+from ivymux.runtime.settings_file import file_fingerprint
 from ivymux.simulation.local_cluster import LocalCluster
 
 from ..sockets import run, until
@@ -48,13 +51,17 @@
         assert text.count("grace: ") == 1
         started: list[RecordingProgram] = []
 
-        def create(settings: Settings) -> RecordingProgram:
-            path.write_text(text.replace("grace: ", "grace: 1"))
-            os.utime(path, ns=(1, 1))  # another time of change, whatever the file system's resolution is
-            started.append(RecordingProgram(settings))
-            return started[0]
+        class RecordingProgramType:
+            def listen_addresses(self, settings: Settings) -> tuple[Address, ...]:
+                return ()
 
-        serving = asyncio.create_task(serve(create, settings, path, fingerprint))
+            def __call__(self, settings: Settings, sockets: ListeningSockets) -> RecordingProgram:
+                path.write_text(text.replace("grace: ", "grace: 1"))
+                os.utime(path, ns=(1, 1))  # another time of change, whatever the file system's resolution is
+                started.append(RecordingProgram(settings))
+                return started[0]
+
+        serving = asyncio.create_task(serve(RecordingProgramType(), settings, path, fingerprint))
         await until(lambda: started and len(started[0].grace_s) > 1)
         assert started[0].grace_s[1] != started[0].grace_s[0]
         path.write_text(text.replace("grace: ", "grace: 2"))
