--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -9,30 +9,36 @@
 # Former names of the roles, for which the error message gives the present one.
 FORMER_ROLES = {"switchboard": "proxy", "directory": "registry", "exchange": "config_store"}
 
-if __name__ == "__main__":
-    if len(sys.argv) == 1 or sys.argv[1] in ROLES:
+
+def main() -> int:
+    """Run what the command line names; return the exit code."""
+    verb, arguments = "".join(sys.argv[1:2]), sys.argv[2:]
+    if not verb or verb in ROLES:
         # SIGHUP's default action would end the process.  It can be ignored until the event loop handles it:
         # no settings have been read before that, so there is nothing to reload.
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    if len(sys.argv) > 1 and sys.argv[1] in ROLES:
+    if verb in ROLES:
         from ivymux.runtime.early_listener import open_listener
 
-        early = open_listener(sys.argv[1], sys.argv[2:])  # before the slow imports
+        early = open_listener(verb, arguments)  # before the slow imports
         from ivymux.runtime.program import main as program
 
-        sys.exit(program(sys.argv[1], sys.argv[2:], early))
-    if len(sys.argv) > 1 and sys.argv[1] in FORMER_ROLES:
-        former = sys.argv[1]
-        print(f"ivymux: the role {former} is named {FORMER_ROLES[former]} now", file=sys.stderr)
-        sys.exit(2)
-    if len(sys.argv) > 1 and sys.argv[1] == "replay":
+        return program(verb, arguments, early)
+    if verb in FORMER_ROLES:
+        print(f"ivymux: the role {verb} is named {FORMER_ROLES[verb]} now", file=sys.stderr)
+        return 2
+    if verb == "replay":
         from ivymux.simulation.replay import main as replay
 
-        sys.exit(replay(sys.argv[2:]))
-    if len(sys.argv) > 1 and sys.argv[1] == "trial":
+        return replay(arguments)
+    if verb == "trial":
         from ivymux.trial_command import main as trial
 
-        sys.exit(trial(sys.argv[2:]))
-    from ivymux.cli import main
+        return trial(arguments)
+    from ivymux.cli import main as command_line
+
+    return command_line()
 
+
+if __name__ == "__main__":
     sys.exit(main())
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -128,6 +128,8 @@
         "ivymux.runtime.settings",
         "ivymux.runtime.clock",
         "ivymux.runtime.log",
+        "ivymux.runtime.listening_sockets",
+        "ivymux.runtime.settings_file",
         "ivymux.transport",
         "ivymux.routing_config",
         "ivymux.idempotency",
