Soak: seeded plans of overlapping signals, restarts and changes against real processes

`python3 -m ivymux soak` draws a plan by its seed and plays it by replay, which learned freezes and reloads.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -31,6 +31,10 @@
         from ivymux.simulation.replay import main as replay
 
         return replay(arguments)
+    if verb == "soak":
+        from ivymux.simulation.soak import main as soak
+
+        return soak(arguments)
     if verb == "trial":
         from ivymux.trial_command import main as trial
 
--- a/ivymux/simulation/rules/departures.py
+++ b/ivymux/simulation/rules/departures.py
@@ -83,6 +83,7 @@
         faults = [kill.at for kill in history.kills if kill.how != "term"]
         faults += [start.at for start in history.starts]
         is_disturbed = any(answer.sent - QUIET_PERIOD_S <= at <= answer.at for at in faults)
+        is_disturbed |= history.is_frozen(answer.sent, answer.at)
         if is_draining and not is_disturbed:
             yield Breach("LOST", id, "a proxy that was draining closed its connection without an answer")
         elif not is_draining and history.is_quiet(answer.sent, answer.at):
--- a/ivymux/simulation/rules/history.py
+++ b/ivymux/simulation/rules/history.py
@@ -15,6 +15,7 @@
     ConfigurationChange,
     Day,
     Event,
+    FreezeMachine,
     KillMachine,
     Observation,
     QuiesceBackend,
@@ -54,6 +55,7 @@
     readiness: dict[int, list[ReadinessChange]]  # by proxy number
     kills: list[KillMachine]
     starts: list[StartMachine]
+    freezes: list[FreezeMachine]
     stalls: list[RecorderStall]
     quiesced_backends: set[str]  # backends that quiesce on this day
 
@@ -86,6 +88,7 @@
             readiness=readiness,
             kills=[event for event in events if isinstance(event, KillMachine)],
             starts=[event for event in events if isinstance(event, StartMachine)],
+            freezes=[event for event in events if isinstance(event, FreezeMachine)],
             stalls=[record for record in observations if isinstance(record, RecorderStall)],
             quiesced_backends={event.backend for event in events if isinstance(event, QuiesceBackend)},
         )
@@ -99,6 +102,13 @@
         kills = [kill.at for kill in self.kills if machine in ("", kill.machine)]
         return kills + [start.at for start in self.starts if machine in ("", start.machine)]
 
+    def is_frozen(self, since: float, until: float) -> bool:
+        """Whether a machine was frozen within a span, or up to `QUIET_PERIOD_S` before it."""
+        return any(
+            freeze.at <= until and freeze.at + freeze.seconds + QUIET_PERIOD_S >= since
+            for freeze in self.freezes
+        )
+
     def has_stall(self, since: float, until: float) -> bool:
         """Whether the recorder stalled within a span: it then recorded times that are too late."""
         return any(stall.at <= until and stall.at + stall.seconds >= since for stall in self.stalls)
@@ -106,11 +116,11 @@
     def is_quiet(self, since: float, until: float | None = None) -> bool:
         """Whether rules on time apply to a moment, or to a span up to `until`.
 
-        They do if no machine was killed or started from `QUIET_PERIOD_S` before it up to its end, and if the
-        recorder did not stall within it.
+        They do if no machine was killed, started or frozen from `QUIET_PERIOD_S` before it up to its end, and
+        if the recorder did not stall within it.
         """
         end = since if until is None else until
-        if self.has_stall(since, end):
+        if self.has_stall(since, end) or self.is_frozen(since, end):
             return False
         return not any(since - QUIET_PERIOD_S <= at <= end for at in self.fault_times())
 
--- a/tests/runtime/test_hangup.py
+++ b/tests/runtime/test_hangup.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import ast
+import asyncio
+import contextlib
+import signal
+import sys
 import tomllib
+from pathlib import Path
 
 import pytest
 
-from ivymux.simulation.local_cluster import ROOT
+from ivymux.simulation.local_cluster import ROOT, LocalCluster
+
+from ..sockets import run
 
 ROLES = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
 
@@ -23,3 +30,24 @@
         "import _signal",
         "_signal.signal(_signal.SIGHUP, _signal.SIG_IGN)",
     ]
+
+
+# Guards against SIGHUPs that end a process while its interpreter starts (issue 73).
+def test_a_program_outlives_sighup_right_after_its_start(tmp_path: Path) -> None:
+    async def test() -> None:
+        cluster = LocalCluster(tmp_path)
+        path = cluster.write_settings(cluster.proxy_ips[0], True)
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-S", "deploy/start.py", "proxy", "--settings", str(path), cwd=ROOT
+        )
+        process.send_signal(signal.SIGHUP)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(process.wait(), 1.0)
+        ended = process.returncode
+        if ended is None:
+            process.kill()
+            await process.wait()
+        await cluster.close()
+        assert ended is None or ended > 0  # it may lack its packages here, but no signal ended it
+
+    run(test())
