Log: a log that nobody reads does not stop the process

What callers saw: a proxy whose output is a pipe that nobody reads answers nothing any more once the pipe is full (trial: a pipe of one page, 200 log lines; readiness timed out, the process still ran).

Cause: print waits for room in the pipe, in the event loop's thread.

A line for which there is no room is dropped and counted, and lines are cut to what a pipe takes at once.

--- a/ivymux/runtime/log.py
+++ b/ivymux/runtime/log.py
@@ -1,35 +1,48 @@
-"""The log: one sentence per line with the component's prefix, through eliot, to standard output."""
+"""The log: one sentence per line with the component's prefix, through eliot, to standard output.
+
+A log that nobody reads must not stop the process: a line for which a pipe has no room is dropped and counted.
+"""
 
 from __future__ import annotations
 
+import select
 import sys
 import time
 
 from eliot import add_destinations, log_message
 
 MAX_LINES_PER_S = 20
+MAX_LINE_CHARS = 1000  # of up to 4 bytes: a pipe that can be written to has room for 4096 bytes
 
 
 class LineWriter:
-    """An eliot destination that prints messages as lines; lines over the rate limit are only counted."""
+    """An eliot destination that prints messages as lines; lines that it drops are only counted."""
 
     def __init__(self) -> None:
         self.second, self.lines, self.dropped = 0, 0, 0
+        self.room = select.poll()
+        if sys.stdout is not None:  # None where the process was started with its output closed
+            self.room.register(sys.stdout.fileno(), select.POLLOUT)
 
     def __call__(self, message: dict[str, object]) -> None:
         second = int(time.monotonic())
         if second != self.second:
-            if self.dropped:
-                print(f"log: {self.dropped} lines were dropped by the rate limit", flush=True)
-            self.second, self.lines, self.dropped = second, 0, 0
+            if self.dropped and self.write(f"log: {self.dropped} lines were dropped"):
+                self.dropped = 0
+            self.second, self.lines = second, 0
         self.lines += 1
-        if self.lines > MAX_LINES_PER_S:
-            self.dropped += 1
-            return
         text = message.get("says")
         if text is None and "exception" in message:
             text = f"{message['exception']}: {message.get('reason')}"
-        print(f"{message.get('message_type')}: {text}", flush=True)
+        if self.lines > MAX_LINES_PER_S or not self.write(f"{message.get('message_type')}: {text}"):
+            self.dropped += 1
+
+    def write(self, line: str) -> bool:
+        """Print a line without waiting; return whether there was room for it."""
+        if not self.room.poll(0):
+            return False
+        print(line[:MAX_LINE_CHARS], flush=True)
+        return True
 
 
 def start() -> None:
