Proxies: a configuration that arrives during the start no longer ends the process

What callers saw: proxies that are restarted beside a core with a configuration end at once with code 2, "cannot listen: address already in use", again and again.

Cause: start() connected to the core first and listened for clients last, with awaits between. A configuration that arrived meanwhile let clients be accepted, which took the listening socket that waits since the start; then start() listened once more at the same address.

start() listens before it connects.

--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -73,8 +73,11 @@
         return self.frontend.refusal(error)
 
     def listen_without_accepting(self) -> None:
-        """Listen, but leave connections and their bytes in the kernel's queue.  Raises OSError."""
-        if self.listening_socket is None:
+        """Listen, but leave connections and their bytes in the kernel's queue.  Raises OSError.
+
+        Does nothing if the server listens already.
+        """
+        if self.listening_socket is None and self.asyncio_server is None:
             self.listening_socket = socket.create_server(
                 (self.listen.host, self.listen.port), backlog=LISTEN_BACKLOG
             )
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -253,7 +253,6 @@
         """Start serving.  Raises OSError if an address cannot be listened on."""
         address = Address(self.settings.ip, self.settings.proxy_port)
         await self.listener.start(address, self.sockets.take(address))
-        self.add_cores([address.host for address in self.settings.seed_addresses])
         await self.ready_server.start()
         await self.start_metrics_server()
         # Clients that connect before the first configuration wait in the kernel's accept queue.  After a loss
@@ -261,6 +260,8 @@
         # retries at all proxies.
         self.server.listen_without_accepting()
         self.loop.call_later(MAX_ACCEPT_DELAY_S, self.accept_clients)
+        # Last, as a configuration, which may follow at once, lets clients be accepted.
+        self.add_cores([address.host for address in self.settings.seed_addresses])
         self.sweep()
         log.info(f"listening on {self.server.listen.host}:{self.server.listen.port}.")
 
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 from pathlib import Path
 
@@ -17,7 +18,7 @@
 from ivymux.runtime.early_listener import find_client_address
 from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.settings import load
-from ivymux.simulation.local_cluster import LocalCluster
+from ivymux.simulation.local_cluster import LocalCluster, build_configuration
 from ivymux.transport.connection import (
     FAST_RETRIES,
     MAX_FAST_RETRY_DELAY_S,
@@ -120,3 +121,32 @@
         await cluster.close()
 
     run(test())
+
+
+# Guards against a proxy that listened twice and ended, as the configuration came while it started (issue 73).
+def test_a_configuration_that_arrives_during_the_start_does_not_end_the_proxy(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        cluster = LocalCluster(tmp_path)
+        settings = load(cluster.write_settings(cluster.proxy_ips[0], False))
+        sockets = ListeningSockets()
+        sockets.open_missing(Proxy.listen_addresses(settings))
+        proxy = Proxy(settings, sockets)
+
+        async def receive_configuration() -> None:
+            proxy.apply_configuration(1, json.dumps(build_configuration(1)))
+            assert proxy.accept_task is not None
+            await proxy.accept_task
+
+        monkeypatch.setattr(proxy, "start_metrics_server", receive_configuration)
+        await proxy.start()
+        listen = proxy.server.listen
+        reader, writer = await asyncio.open_connection(listen.host, listen.port)
+        writer.write(b"GET / HTTP/1.1\r\nHost: nowhere\r\nConnection: close\r\n\r\n")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 4")
+        writer.close()
+        await proxy.stop()
+        await cluster.close()
+
+    run(test())
