--- a/ivymux/simulation/replay.py
+++ b/ivymux/simulation/replay.py
@@ -11,6 +11,7 @@
 import json
 import signal
 import tempfile
+from collections import defaultdict
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -113,6 +114,7 @@
         self.backends: dict[str, standin.Backend] = {}
         self.configurations: dict[int, bytes] = {}  # text by version
         self.observers: dict[str, HistoryObserver] = {}  # by backend
+        self.starting: defaultdict[str, asyncio.Lock] = defaultdict(asyncio.Lock)  # by machine's address
 
     def now(self) -> float:
         """Return the seconds since the beginning of the day."""
@@ -163,8 +165,7 @@
             case KillMachine():
                 await self.kill(event)
             case StartMachine():
-                if not self.cluster.is_running(self.machine_ip(event.machine)):
-                    await self.cluster.start(self.machine_ip(event.machine))
+                await self.start(self.machine_ip(event.machine))
             case FreezeMachine():
                 await self.freeze(event)
             case ReloadMachine():
@@ -175,9 +176,17 @@
             case SpoilAnswers():
                 self.observers[event.backend].pending_faults.extend([event.how] * event.count)
 
+    async def start(self, ip: str) -> None:
+        """Start a machine, unless it runs; its former processes may still be stopping."""
+        async with self.starting[ip]:
+            if not self.cluster.is_running(ip):
+                await self.cluster.start(ip)
+
     async def kill(self, event: KillMachine) -> None:
         """Send SIGKILL or SIGTERM to a machine's processes, or kill them and delete their data."""
         ip = self.machine_ip(event.machine)
+        async with self.starting[ip]:
+            pass  # a process that is being created gets the signal too
         if event.how == "wipe":
             await self.cluster.wipe(ip)
         else:
