Platform, standalone, hosting and tally: a start waits while its predecessor listens

Cause, the same as of the system's programs: a start ended with "cannot listen" where its predecessor still stopped. ivymux tally opened its file before it listened, so that two processes could have used one file.

An ordinary start only binds and closes a probe. test_the_program_waits_until_its_predecessor_has_ended failed before: the successor ended with code 2.

--- a/ivymux/cli/host.py
+++ b/ivymux/cli/host.py
@@ -41,6 +41,7 @@
 
 async def host(path: Path) -> None:
     """Serve until SIGTERM or SIGINT.  Raises ConfigError, StoreError."""
+    from ivymux.data_plane.free_address import wait_until_free
     from ivymux.hosting.hosting_gateway import HostingGateway, load_hosting
     from ivymux.hosting.state_stores import open_gateway_store
 
@@ -49,6 +50,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     hosting = load_hosting(path)
+    await wait_until_free([hosting.listen], ended)
     store = await asyncio.to_thread(open_gateway_store, hosting.file, path.parent)
     gateway = HostingGateway(hosting, store, path.parent)
     try:
--- a/ivymux/cli/serve.py
+++ b/ivymux/cli/serve.py
@@ -52,6 +52,7 @@
 
     Raises ConfigError, DescriptionError, CompilerError.
     """
+    from ivymux.data_plane.free_address import wait_until_free
     from ivymux.service.standalone import open_standalone
 
     loop = asyncio.get_running_loop()
@@ -59,6 +60,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
     gateway = await open_standalone(path)
+    site = gateway.site
+    await wait_until_free([site.listen, *([site.tally_listen] if site.tally_listen else [])], ended)
     try:
         await gateway.start()
         loop.add_signal_handler(signal.SIGHUP, lambda: gateway.start_task(gateway.reload()))
--- a/ivymux/cli/tally.py
+++ b/ivymux/cli/tally.py
@@ -41,6 +41,7 @@
 
 async def serve(listen: Any, file: Path | None, names: int) -> None:
     """Serve until SIGTERM or SIGINT.  Raises ConfigError, CounterFileError."""
+    from ivymux.data_plane.free_address import wait_until_free
     from ivymux.data_plane.limits import ConfigError
     from ivymux.tally.durable import DurableStore
     from ivymux.tally.server import CounterServer
@@ -49,6 +50,7 @@
     loop, ended = asyncio.get_running_loop(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
+    await wait_until_free([listen], ended)  # before the file is opened, which has one user at a time
     durable = DurableStore(file, names) if file is not None else None
     server = (
         CounterServer(durable, durable.clock) if durable is not None else CounterServer(CounterStore(names))
--- a/ivymux/platform/program.py
+++ b/ivymux/platform/program.py
@@ -16,6 +16,7 @@
 
 import uvloop
 
+from ivymux.data_plane.free_address import wait_until_free
 from ivymux.data_plane.host import Host
 from ivymux.data_plane.limits import ConfigError
 from ivymux.data_plane.server import Server
@@ -141,6 +142,7 @@
 
     loop.add_signal_handler(signal.SIGHUP, reload)
     config = load(env)
+    await wait_until_free([config.listen], terminated)
     gateway = PlatformGateway(config)
     gateways.append(gateway)
     try:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -116,3 +116,28 @@
             assert await process.wait() == 0
 
     run(test())
+
+
+# Guards against gateways that end as their predecessors still stop (issue 73).
+def test_the_program_waits_until_its_predecessor_has_ended(tmp_path: Path) -> None:
+    async def test() -> None:
+        path = tmp_path / "config.json"
+        path.write_text(config_text([]))
+        async with running(path) as (predecessor, port):
+            env = dict(os.environ) | {"NODE_CONFIG": str(path), "NODE_LISTEN": f"127.0.0.1:{port}"}
+            successor = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "ivymux", env=env, stderr=asyncio.subprocess.PIPE
+            )
+            assert successor.stderr is not None
+            while b"waits up to" not in (line := await successor.stderr.readline()):
+                assert line
+            predecessor.send_signal(signal.SIGTERM)
+            assert await predecessor.wait() == 0
+            while True:
+                with contextlib.suppress(OSError):
+                    assert await readiness_status(port) == 503  # it has no backend
+                    break
+            successor.send_signal(signal.SIGTERM)
+            assert await successor.wait() == 0
+
+    run(test())
