Soak: the recorder keeps up with its load, and says when it does not

Its record: the soak's own process stalled for 86 of 108 s, as a pool of 200 connections to all machines costs time in proportion to its requests, and each operator sent its change again every 20 ms for 17 s.

One pool for each machine, pauses that grow, uvloop; RECOVER leaves out what was sent or answered in a stall, as the other rules on times do; the summary names the stalls.

--- a/ivymux/simulation/local_cluster.py
+++ b/ivymux/simulation/local_cluster.py
@@ -29,6 +29,10 @@
 QUIESCE_S = 1.0  # time for which a replaced backend still serves
 POLL_INTERVAL_S = 0.02
 LOG_FILE_NAME = "log.txt"
+HTTP_TIMEOUT_S = 3.0
+MAX_CONNECTIONS = 200  # of one client
+MAX_OPERATOR_PAUSE_S = 0.5  # between two calls of one change
+OPERATOR_PAUSE_GROWTH = 1.5
 SHUTDOWN_GRACE_S = 3.0  # between SIGTERM and SIGKILL
 
 
@@ -49,6 +53,11 @@
     }  # fmt: skip
 
 
+def make_http_client() -> httpx.AsyncClient:
+    limits = httpx.Limits(max_connections=MAX_CONNECTIONS)
+    return httpx.AsyncClient(timeout=HTTP_TIMEOUT_S, trust_env=False, verify=False, limits=limits)
+
+
 class LocalCluster:
     """Core machines and proxies as local processes, one loopback address each, and backends in this process.
 
@@ -74,9 +83,9 @@
         self.backends: list[Backend] = []
         self.heartbeat_tasks: dict[str, asyncio.Task[None]] = {}  # by backend instance
         self.deregistrations: set[asyncio.Task[None]] = set()
-        self.http_client = httpx.AsyncClient(
-            timeout=3.0, trust_env=False, limits=httpx.Limits(max_connections=200)
-        )
+        self.http_client = make_http_client()
+        # A pool of connections costs time in proportion to its requests, so each machine has its own.
+        self.http_clients: dict[str, httpx.AsyncClient] = {}  # by the machine's address
         self.request_numbers = itertools.count(1)
         self.log_file = open(folder / LOG_FILE_NAME, "ab")  # noqa: SIM115  # closed in close()
 
@@ -169,24 +178,35 @@
         await self.kill(ip)
         shutil.rmtree(self.folder / ip, ignore_errors=True)
 
+    def client_of(self, ip: str) -> httpx.AsyncClient:
+        """Return the client whose connections go to one machine."""
+        if ip not in self.http_clients:
+            self.http_clients[ip] = make_http_client()
+        return self.http_clients[ip]
+
     # --- the operator ----------------------------------------------------------------------------------
 
     async def call_core(self, method: str, ip: str, path: str, body: Any = None) -> tuple[int, bytes]:
         """Call a core machine once; the status is 0 if no answer arrived."""
         content = body if isinstance(body, bytes) else json.dumps(body).encode() if body is not None else None
         try:
-            answer = await self.http_client.request(method, f"http://{ip}:8529{path}", content=content)
+            answer = await self.client_of(ip).request(method, f"http://{ip}:8529{path}", content=content)
         except httpx.HTTPError:
             return 0, b""
         return answer.status_code, answer.content
 
     async def put_configuration(self, body: Any, core_ips: list[str] | None = None) -> tuple[int, bytes]:
-        """Send a configuration to one core machine after another until a status below 500 is returned."""
+        """Send a configuration to one core machine after another until a status below 500 is returned.
+
+        The pause between two calls grows, as the operators' does.
+        """
+        pause_s = POLL_INTERVAL_S
         for ip in itertools.cycle(core_ips or self.core_ips):
             status, answer = await self.call_core("PUT", ip, "/configuration", body)
             if status and status < 500:
                 return status, answer
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await asyncio.sleep(pause_s)
+            pause_s = min(MAX_OPERATOR_PAUSE_S, pause_s * OPERATOR_PAUSE_GROWTH)
         raise AssertionError
 
     async def read_configuration(self) -> bytes:
@@ -268,7 +288,7 @@
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }  # fmt: skip
         try:
-            return await self.http_client.request(
+            return await self.client_of(proxy_ip).request(
                 method, f"http://{proxy_ip}:8520{path}", headers=all_headers, content=content or None
             )
         except httpx.HTTPError:
@@ -276,7 +296,7 @@
 
     async def is_ready(self, proxy_ip: str) -> bool:
         try:
-            answer = await self.http_client.get(f"http://{proxy_ip}:8521/readiness")
+            answer = await self.client_of(proxy_ip).get(f"http://{proxy_ip}:8521/readiness")
         except httpx.HTTPError:
             return False
         return answer.status_code == 200
@@ -309,7 +329,8 @@
         self.monitor.close()
         for backend in self.backends:
             backend.stop()
-        await self.http_client.aclose()
+        for client in (self.http_client, *self.http_clients.values()):
+            await client.aclose()
         self.log_file.close()
 
 
--- a/ivymux/simulation/rules/processes.py
+++ b/ivymux/simulation/rules/processes.py
@@ -28,7 +28,11 @@
     if not troubles:
         return
     recovered_at = max(troubles) + RECOVERY_S
-    later = [answer for answer in history.answers.values() if answer.sent > recovered_at]
+    later = [
+        answer
+        for answer in history.answers.values()
+        if answer.sent > recovered_at and not history.has_stall(answer.sent, answer.at)
+    ]
     served = sum(200 <= answer.status < 300 for answer in later)
     if len(later) >= MIN_REQUESTS and served < SERVED_SHARE * len(later):
         text = f"{served} of {len(later)} served later than {RECOVERY_S} s after the last trouble"
--- a/ivymux/simulation/soak.py
+++ b/ivymux/simulation/soak.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
 import shutil
 import sys
@@ -17,11 +16,12 @@
 from collections.abc import Sequence
 from pathlib import Path
 
+import uvloop
 from absl import flags
 
 from ivymux.runtime.log import fail
 from ivymux.simulation import day_file
-from ivymux.simulation.day_file import Observation, ProcessUse
+from ivymux.simulation.day_file import Observation, ProcessUse, RecorderStall
 from ivymux.simulation.local_cluster import LOG_FILE_NAME
 from ivymux.simulation.replay import find_breaches, format_summary, play_day
 from ivymux.simulation.rules import Breach
@@ -47,14 +47,16 @@
     day, events = draw_soak(seed, size)
     environment = {**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, sys.path))}
     with tempfile.TemporaryDirectory() as folder:
-        observations = asyncio.run(play_day(day, events, Path(folder), ENTRY_POINT, environment))
+        observations = uvloop.run(play_day(day, events, Path(folder), ENTRY_POINT, environment))
         breaches = find_breaches(day, events, observations)
         if breaches and report is not None:
             report.mkdir(parents=True, exist_ok=True)
             records = day_file.write([day, *events, *observations])
             (report / f"soak-{seed}.jsonl").write_bytes(records)
             shutil.copy(Path(folder) / LOG_FILE_NAME, report / f"soak-{seed}.log")
-    print(f"seed {seed}: {format_summary(events, observations)}; {format_use(observations)}", flush=True)
+    stalled_s = sum(record.seconds for record in observations if isinstance(record, RecorderStall))
+    summary = f"{format_summary(events, observations)}; {format_use(observations)}"
+    print(f"seed {seed}: {summary}; this process stalled for {stalled_s:.1f} s", flush=True)
     for breach in breaches:
         print(f"seed {seed} broken: {breach}", flush=True)
     return breaches
