--- a/tests/simulation/faulty.py
+++ b/tests/simulation/faulty.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import socket
 import sys
 from collections.abc import Callable
 from dataclasses import replace
@@ -15,6 +17,7 @@
 from ivymux.data_plane.client_departures import OnDeparture
 from ivymux.data_plane.frontend import Answer, BadRequest
 from ivymux.data_plane.host import Host
+from ivymux.data_plane.server import Server
 from ivymux.proxy.answer_policy import ProxyAnswerPolicy
 from ivymux.proxy.frontend import ProxyFrontend
 from ivymux.proxy.program import Proxy
@@ -174,6 +177,24 @@
     replace_attribute(Proxy, "stop", stop)
 
 
+def connects_before_it_listens() -> None:
+    add_cores, listen = Proxy.add_cores, Server.listen_without_accepting
+
+    async def start_metrics_server(self: Proxy) -> None:
+        add_cores(self, [address.host for address in self.settings.seed_addresses])
+        while self.config_version < 0 or self.accept_task is None or not self.accept_task.done():
+            await asyncio.sleep(0.001)  # as a busy machine may delay this process
+
+    def listen_again(self: Server) -> None:
+        if self.asyncio_server is None:
+            listen(self)
+        else:
+            self.listening_socket = socket.create_server((self.listen.host, self.listen.port))
+
+    replace_attribute(Proxy, "start_metrics_server", start_metrics_server)
+    replace_attribute(Server, "listen_without_accepting", listen_again)
+
+
 def no_fault() -> None:
     pass
 
@@ -182,7 +203,7 @@
     no_fault, disconnect_not_passed_on, action_retried, failure_reported_as_not_executed, seal_not_checked,
     key_passed_on, path_changed, remaining_time_extended, valid_requests_denied, route_not_served,
     configuration_not_applied, configuration_reverted, draining_ignored, quota_not_enforced,
-    attempts_not_limited, deadline_ignored, stop_cuts_requests,
+    attempts_not_limited, deadline_ignored, stop_cuts_requests, connects_before_it_listens,
 )}  # fmt: skip
 
 
