Soak: backends crash and come back at their addresses, and long bodies

A crash takes 0.3 to 8 s, and each life has an instance id of its own. Of the requests that may not run twice, 1 in 10 has a body of up to 400 kB.

--- a/ivymux/simulation/day_file.py
+++ b/ivymux/simulation/day_file.py
@@ -56,6 +56,7 @@
     key: str = "key-one"
     waits: float = 2.0  # seconds that the client waits, sent along as its remaining time
     leaves: float = 0.0  # seconds after which the client disconnects without an answer; 0: never
+    body: int = 0  # bytes that the client sends as its body
 
 
 class ConfigurationChange(Record, frozen=True, tag="change"):
@@ -105,6 +106,14 @@
     stays: float = 2.6  # seconds that it serves after its quiescing was acknowledged
 
 
+class CrashBackend(Record, frozen=True, tag="crash"):
+    """A backend ends without a word, and is back later at its address under another instance id."""
+
+    at: float
+    backend: str
+    seconds: float  # until it is back
+
+
 class SpoilAnswers(Record, frozen=True, tag="spoil"):
     """A backend spoils its next answers.
 
@@ -229,6 +238,7 @@
     | FreezeMachine
     | ReloadMachine
     | QuiesceBackend
+    | CrashBackend
     | SpoilAnswers
 )
 Observation = (
@@ -253,6 +263,7 @@
     FreezeMachine,
     ReloadMachine,
     QuiesceBackend,
+    CrashBackend,
     SpoilAnswers,
 )
 
@@ -311,7 +322,8 @@
     if isinstance(event, about_machine) and event.machine not in machines:
         names = ", ".join(sorted(machines))
         raise DayError(f"event {number}: no machine {event.machine!r}; there are {names}")
-    if isinstance(event, QuiesceBackend | SpoilAnswers) and event.backend not in backends:
+    about_backend = QuiesceBackend | CrashBackend | SpoilAnswers
+    if isinstance(event, about_backend) and event.backend not in backends:
         names = ", ".join(sorted(backends))
         raise DayError(f"event {number}: no backend {event.backend!r}; there are {names}")
 
--- a/ivymux/simulation/rules/history.py
+++ b/ivymux/simulation/rules/history.py
@@ -13,6 +13,7 @@
     ClientDisconnect,
     ClientRequest,
     ConfigurationChange,
+    CrashBackend,
     Day,
     Event,
     FreezeMachine,
@@ -57,6 +58,7 @@
     starts: list[StartMachine]
     freezes: list[FreezeMachine]
     stalls: list[RecorderStall]
+    crashes: list[CrashBackend]
     quiesced_backends: set[str]  # backends that quiesce on this day
 
     @classmethod
@@ -90,6 +92,7 @@
             starts=[event for event in events if isinstance(event, StartMachine)],
             freezes=[event for event in events if isinstance(event, FreezeMachine)],
             stalls=[record for record in observations if isinstance(record, RecorderStall)],
+            crashes=[event for event in events if isinstance(event, CrashBackend)],
             quiesced_backends={event.backend for event in events if isinstance(event, QuiesceBackend)},
         )
 
@@ -124,6 +127,12 @@
             return False
         return not any(since - QUIET_PERIOD_S <= at <= end for at in self.fault_times())
 
+    def crashed_during(self, run: BackendRun, waits_s: float) -> bool:
+        """Whether the backend of a run crashed while the run's client waited."""
+        return any(
+            crash.backend == run.backend and run.at <= crash.at <= run.at + waits_s for crash in self.crashes
+        )
+
     def run_end_time(self, run: BackendRun) -> float:
         """Return when a backend's work on a run ended; infinite where no end was recorded."""
         ends = [end.at for end in self.run_ends.get((run.id, run.backend), ()) if end.at >= run.at]
--- a/ivymux/simulation/soak_plan.py
+++ b/ivymux/simulation/soak_plan.py
@@ -16,6 +16,7 @@
     FORMAT,
     ClientRequest,
     ConfigurationChange,
+    CrashBackend,
     Day,
     Event,
     FreezeMachine,
@@ -39,11 +40,15 @@
 RELOAD_INTERVAL_S = 1.5
 CHANGE_INTERVAL_S = 2.0
 SPOIL_INTERVAL_S = 1.5
+CRASH_INTERVAL_S = 5.0
 LOSS_OF_ALL_INTERVAL_S = 25.0
 
 SIGN_SHARE = 0.4  # of the requests, those that may not run twice
 LEAVE_SHARE = 0.15  # of the repeatable requests, those whose client leaves
 LEAVE_AFTER_S = 0.1
+BODY_SHARE = 0.1  # of the requests that may not run twice, those with a long body
+MAX_BODY_BYTES = 400_000
+MIN_DOWN_S, MAX_DOWN_S = 0.3, 8.0  # of a crashed backend; shorter and longer than its silence is noticed
 SPOILT_ANSWERS = 3  # of a backend, in one event
 SECOND_OPERATOR_SHARE = 0.4  # of the changes, those that are sent beside another one
 ROUTES = ({"read": "archive", "sign": "desk"}, {"read": "desk", "sign": "desk"})
@@ -94,8 +99,9 @@
         leaves_s = LEAVE_AFTER_S if not is_sign and rng.random() < LEAVE_SHARE else 0.0
         path = f"/{'sign' if is_sign else 'read'}/{number}"
         method = "POST" if is_sign else "GET"
+        body = rng.randint(1, MAX_BODY_BYTES) if is_sign and rng.random() < BODY_SHARE else 0
         door = rng.randrange(size.doors)
-        yield ClientRequest(round(at, 4), f"r{number}", door, path, method, leaves=leaves_s)
+        yield ClientRequest(round(at, 4), f"r{number}", door, path, method, leaves=leaves_s, body=body)
 
 
 class Machines:
@@ -170,9 +176,11 @@
 
 
 def draw_backend_troubles(seed: int, size: SoakSize) -> Iterator[Event]:
-    """Yield spoilt answers, and the departure of one backend."""
+    """Yield spoilt answers, crashes, and the departure of one backend."""
     rng = random.Random(f"backends {seed}")
     names = [f"{service}-{n}" for service in ("archive", "desk") for n in range(size.backends)]
     for at in draw_times(rng, size, SPOIL_INTERVAL_S):
         yield SpoilAnswers(at, rng.choice(names), rng.choice(SPOILS), SPOILT_ANSWERS)
+    for at in draw_times(rng, size, CRASH_INTERVAL_S):
+        yield CrashBackend(at, rng.choice(names), round(rng.uniform(MIN_DOWN_S, MAX_DOWN_S), 3))
     yield QuiesceBackend(round(rng.uniform(CALM_START_S, size.seconds - CALM_END_S), 3), names[0])
