--- a/ivymux/simulation/soak.py
+++ b/ivymux/simulation/soak.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import shutil
 import sys
@@ -16,7 +17,6 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-import uvloop
 from absl import flags
 
 from ivymux.runtime.log import fail
@@ -47,7 +47,8 @@
     day, events = draw_soak(seed, size)
     environment = {**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, sys.path))}
     with tempfile.TemporaryDirectory() as folder:
-        observations = uvloop.run(play_day(day, events, Path(folder), ENTRY_POINT, environment))
+        # On uvloop, httpx fails with an AttributeError where a connection is reset while it is made.
+        observations = asyncio.run(play_day(day, events, Path(folder), ENTRY_POINT, environment))
         breaches = find_breaches(day, events, observations)
         if breaches and report is not None:
             report.mkdir(parents=True, exist_ok=True)
