--- a/ivymux/simulation/soak.py
+++ b/ivymux/simulation/soak.py
@@ -22,8 +22,9 @@
 from ivymux.runtime.log import fail
 from ivymux.simulation import day_file
 from ivymux.simulation.day_file import Observation, ProcessUse, RecorderStall
+from ivymux.simulation.day_player import play_day
 from ivymux.simulation.local_cluster import LOG_FILE_NAME
-from ivymux.simulation.replay import find_breaches, format_summary, play_day
+from ivymux.simulation.replay import find_breaches, format_summary
 from ivymux.simulation.rules import Breach
 from ivymux.simulation.soak_plan import CALM_END_S, CALM_START_S, SoakSize, draw_soak
 
--- a/tests/simulation/test_seeded_rules.py
+++ b/tests/simulation/test_seeded_rules.py
@@ -25,8 +25,9 @@
     RecorderStall,
     SpoilAnswers,
 )  # fmt: skip
+from ivymux.simulation.day_player import HANG_TIMEOUT_S, Player
 from ivymux.simulation.local_cluster import LocalCluster, local_cluster
-from ivymux.simulation.replay import HANG_TIMEOUT_S, Player, find_breaches
+from ivymux.simulation.replay import find_breaches
 from ivymux.simulation.rules import Breach
 from ivymux.simulation.rules.configuration import APPLY_BOUND_S
 
