--- a/deploy/start.py
+++ b/deploy/start.py
@@ -10,7 +10,7 @@
 
 import sys  # noqa: E402
 
-sys.path[0] = sys.path[0].rpartition("/")[0]  # the root instead of this file's folder; empty: the present one
+sys.path.insert(0, __file__.rpartition("/deploy/")[0] or ".")  # the root of the repository
 
 from ivymux.__main__ import main  # noqa: E402
 
