Starts: standard streams that are closed no longer abort the process

What callers saw (trial): a proxy or registry that is started with all three standard streams closed serves, and ends with SIGABRT at its stop, code -6; with the new faulthandler it would not have started at all.

Cause: the first descriptors that a process opens get the closed numbers, and libuv asserts that it never closes one up to 2.

They are opened on the null device first, and faulthandler is left out where there is no standard error. The test with all three closed failed before.

--- a/ivymux/__main__.py
+++ b/ivymux/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import signal
 import sys
 
@@ -10,8 +11,22 @@
 FORMER_ROLES = {"switchboard": "proxy", "directory": "registry", "exchange": "config_store"}
 
 
+def open_standard_streams() -> None:
+    """Open the standard descriptors that were closed, on the null device.
+
+    Otherwise the first sockets would get their numbers, and the event loop's library (libuv) aborts the
+    process when it closes one of those.
+    """
+    for number in range(3):
+        try:
+            os.fstat(number)
+        except OSError:
+            os.open(os.devnull, os.O_RDWR)  # takes the lowest free number
+
+
 def main() -> int:
     """Run what the command line names; return the exit code."""
+    open_standard_streams()
     verb, arguments = "".join(sys.argv[1:2]), sys.argv[2:]
     if not verb or verb in ROLES:
         # SIGHUP's default action would end the process.  It can be ignored until the event loop handles it:
--- a/ivymux/runtime/program.py
+++ b/ivymux/runtime/program.py
@@ -160,7 +160,8 @@
 
     A fatal signal, such as SIGSEGV or SIGBUS, writes the threads' stacks to standard error.
     """
-    faulthandler.enable()
+    with contextlib.suppress(RuntimeError, OSError):  # there is no standard error
+        faulthandler.enable()
     log = logs.Log(role)
     version = ".".join(map(str, sys.version_info[:3]))
     log.info(
--- a/tests/runtime/test_ends.py
+++ b/tests/runtime/test_ends.py
@@ -48,3 +48,22 @@
         assert reason in log
 
     run(test())
+
+
+# Guards against processes that abort because their standard streams are closed: sockets got these numbers.
+@pytest.mark.parametrize("closed", ["<&-", ">&-", "2>&-", "<&- >&- 2>&-"])
+def test_a_program_runs_and_stops_with_standard_streams_closed(tmp_path: Path, closed: str) -> None:
+    async def test() -> None:
+        cluster = LocalCluster(tmp_path)
+        (core, *_) = cluster.core_ips
+        path = cluster.write_settings(core, True)
+        command = f"exec {sys.executable} -m ivymux registry --settings {path} {closed}"
+        process = await asyncio.create_subprocess_exec("/bin/sh", "-c", command, cwd=ROOT)
+        while process.returncode is None and (await cluster.call_core("GET", core, "/configuration"))[0] == 0:
+            await asyncio.sleep(0.02)
+        assert process.returncode is None
+        process.send_signal(signal.SIGTERM)
+        assert await process.wait() == 0
+        await cluster.close()
+
+    run(test())
