Models: every order of messages, commits and losses in small cores, states hashed

A step delivers a message, ends a commit, ticks, wipes a disk, restarts a process or sends a change; each new state is expanded by all of its steps, and the core goes on in order from each until it has a primary.

Writes of a disk are applied by one function in both models.

--- a/ivymux/simulation/core_cluster.py
+++ b/ivymux/simulation/core_cluster.py
@@ -8,7 +8,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -50,6 +50,31 @@
     """The core broke one of its guarantees."""
 
 
+def with_writes(durable: DurableState, writes: Iterable[Persist]) -> DurableState:
+    """Return what is on a disk after further writes, in order."""
+    for write in writes:
+        promised = write.promised or (durable.promised, durable.promised_to)
+        records = durable.idempotency_records
+        if write.idempotency_records:
+            records = {
+                key: record
+                for key, record in {**records, **dict(write.idempotency_records)}.items()
+                if record is not None
+            }
+        history = durable.history if write.history is None else write.history
+        if write.change is not None:
+            history = (*history, write.change)
+        durable = DurableState(
+            durable.identity,
+            write.epoch_record or durable.epoch_record,
+            *promised,
+            write.state or durable.state,
+            records,
+            history,
+        )
+    return durable
+
+
 @dataclass
 class Disk:
     """The synced state of a machine, including its identity, which a wipe replaces."""
@@ -292,27 +317,7 @@
 
     def apply_writes(self, disk: Disk, writes: list[Persist]) -> None:
         """Apply the writes of one commit to a disk, in order."""
-        for write in writes:
-            old = disk.durable
-            promised = write.promised or (old.promised, old.promised_to)
-            records = old.idempotency_records
-            if write.idempotency_records:
-                records = {
-                    key: record
-                    for key, record in {**records, **dict(write.idempotency_records)}.items()
-                    if record is not None
-                }
-            history = old.history if write.history is None else write.history
-            if write.change is not None:
-                history = (*history, write.change)
-            disk.durable = DurableState(
-                old.identity,
-                write.epoch_record or old.epoch_record,
-                *promised,
-                write.state or old.state,
-                records,
-                history,
-            )
+        disk.durable = with_writes(disk.durable, writes)
 
     def execute(self, machine: Machine, action: Action) -> None:
         """Execute one action at once."""
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -102,6 +102,8 @@
     "ivymux.simulation.core_cluster",
     "ivymux.simulation.loss_scenarios",
     "ivymux.simulation.election_deviations",
+    "ivymux.simulation.order_exploration",
+    "ivymux.simulation.soak_plan",
     "ivymux.simulation.fault_schedules",
     "ivymux.simulation.day_file",
     "ivymux.simulation.quota_sharing",
