--- a/ivymux/simulation/local_cluster.py
+++ b/ivymux/simulation/local_cluster.py
@@ -132,7 +132,7 @@
             self.monitor.watch(ip, role, process)
 
     def is_running(self, ip: str) -> bool:
-        """Whether a machine's programs run, and were not told to end."""
+        """Whether a machine's programs run, and were not asked to end."""
         return any(process.returncode is None for process in self.processes.get(ip, []))
 
     async def start_all(self, initial_start: bool = False) -> None:
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -39,3 +39,9 @@
     assert build() == (1, 2)
     (root / "broken").unlink()
     assert [build(), build()] == [(0, 3), (0, 3)]
+    machine = root / ".venv" / "machine"
+    assert machine.read_text()
+    machine.write_text("another machine, or another Python\n")
+    (root / ".venv" / "built").unlink()  # as `venv --clear` does, which the fake interpreter does not
+    assert [build(), build()] == [(0, 4), (0, 4)]
+    assert "another" not in machine.read_text()
