Proxies: a request is not ended at the one backend that may run it

Cause: retry_silent cancelled an attempt at a backend that had not answered for five times the usual latency, and looked only afterwards whether another backend may run the request; a key has one holder.

An attempt is cancelled only if a backend can be chosen at that moment. The test failed before, for keys and where all other backends drain.

--- a/orchidhill/proxy_gateway.py
+++ b/orchidhill/proxy_gateway.py
@@ -536,7 +536,7 @@
             self.return_idle_credits()
 
     def retry_silent(self) -> None:
-        """Cancel attempts of safe requests at silent backends, to retry them at others."""
+        """Cancel attempts of safe requests at silent backends, to retry them at others that take requests."""
         for job in [j for j in self.jobs.values() if len(j.in_flight) == 1 and not j.closed]:
             if job.cls.effect is not Effect.SAFE:
                 continue
@@ -550,5 +550,6 @@
             service = self.service(job.req.service)
             reached_count = job.attempts - self.unreached.get(job.req.request, 0)
             may_retry = reached_count < max_attempts and service.retry_tokens >= 1
-            if may_retry and job.deadline - self.now > usual_latency:
+            has_time = job.deadline - self.now > usual_latency
+            if may_retry and has_time and self.choose_backend(job) is not None:
                 self.actions.append(i.Cancel(job.req.request, attempt))  # `retry_or_end` sends it again
--- a/tests/proxy/test_proxy_gateway.py
+++ b/tests/proxy/test_proxy_gateway.py
@@ -186,6 +186,30 @@
     assert other != backend
 
 
+# Guards against requests that were ended at the one backend that may run them, as it had not answered long.
+@pytest.mark.parametrize("others", [State.READY, State.DRAINING])
+def test_a_safe_request_stays_at_a_silent_backend_where_no_other_may_run_it(others: State) -> None:
+    harness = ProxyHarness()
+    for _ in range(40):
+        request, actions = harness.send_request()
+        harness.now += 0.05
+        harness.finish_attempt(request, 0, sent_backends(actions)[0], Outcome.OK)
+    if others is State.READY:  # they serve, but do not hold the request's key
+        harness.number += 1
+        request = harness.number
+        actions = harness.handle(
+            i.Request(request, 0, 0, 0, 1.0, 1.0, 4, 0, False, False, 0, 2, 3, is_home_only=True)
+        )
+    else:
+        request, actions = harness.send_request()
+    (backend,) = sent_backends(actions)
+    for other in set(harness.gateway.backends) - {backend}:
+        harness.set_backends((other, others))
+    for _ in range(60):
+        harness.now += 0.025
+        assert i.Cancel(request, 0) not in harness.handle(i.Fired(1))
+
+
 def test_a_lower_quota_applies_at_once_and_unlimited_tenants_make_no_calls() -> None:
     harness = ProxyHarness()
     _, actions = harness.send_request()
