Starts: programs find the packages of the build without PYTHONPATH

Where a caller set no PYTHONPATH, no program started: run begins with python3 -S, which leaves out site packages, and start.py looked for target/deps nowhere (ModuleNotFoundError, code 1, on every start).

--- a/tests/test_system_build.py
+++ b/tests/test_system_build.py
@@ -101,3 +101,17 @@
     builds = [checkout.start() for _ in range(4)]
     assert [build.wait(timeout=60) for build in builds] == [0, 0, 0, 0]
     assert checkout.installations() == 1
+
+
+# Guards against a system that does not start where the caller sets no PYTHONPATH (issue 76).
+@pytest.mark.parametrize("role", ["proxy", "registry", "config_store"])
+def test_programs_find_the_built_packages_by_themselves(checkout: Checkout, role: str) -> None:
+    checkout.build()
+    shutil.copy(ROOT / "deploy" / "start.py", checkout.root / "deploy")
+    (checkout.root / "ivymux" / "__main__.py").write_text("from one import ONE\ndef main(): return 40 + ONE")
+    roles = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())["roles"]
+    program, *arguments = roles[role]["run"].split(" ")
+    assert program == "python3"
+    environment = {"PATH": os.environ["PATH"]}
+    command = [sys.executable, *arguments]
+    assert subprocess.run(command, cwd=checkout.root, env=environment).returncode == 41
