Proxies: the body of a finished request leaves memory with it

Cause: a request, its exchange and its call refer to each other, and the call's closures hold the body, so that it stays until the garbage collector runs; the bytes counted for it were given back before. Its payload was one more copy. Now a call drops its body, closures and claim once its request is finished, and a body from 64 KiB on is written behind its head without a copy. The platform's and the standalone gateway share it.

--- a/ivymux/data_plane/attempt.py
+++ b/ivymux/data_plane/attempt.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from ivymux.data_plane.backend_connection import BackendConnection
 
+MIN_SEPARATE_BODY_BYTES = 64 << 10  # below which one copy costs less than a second write
+
 
 @dataclass(slots=True)
 class Result:
@@ -36,6 +38,7 @@
     """One transmission of a request to one backend; `on_done` is called exactly once, when it ends."""
 
     __slots__ = (
+        "body",
         "connection",
         "give_up_outcome",
         "is_finished",
@@ -53,8 +56,11 @@
         on_done: Callable[[Result], None],
         is_head: bool = False,
         request_id: bytes = b"",
+        body: bytes = b"",
     ) -> None:
-        self.payload, self.on_done, self.is_head = payload, on_done, is_head
+        """`body`: sent behind the payload."""
+        self.payload, self.body = payload, body
+        self.on_done, self.is_head = on_done, is_head
         self.request_id = request_id  # which its answer has to repeat
         self.started_at = time.perf_counter()
         self.connection: BackendConnection | None = None  # set just before the first byte is written
@@ -67,10 +73,19 @@
         """Whether a backend may have read part of it."""
         return self.connection is not None
 
+    def write_to(self, transport: asyncio.Transport) -> None:
+        """Write its bytes, and drop them; a long body is not copied."""
+        if len(self.body) < MIN_SEPARATE_BODY_BYTES:
+            transport.write(self.payload + self.body)
+        else:
+            transport.writelines((self.payload, self.body))
+        self.payload = self.body = b""
+
     def finish(self, result: Result) -> None:
         """End the attempt with a result; later calls have no effect."""
         if not self.is_finished:
             self.is_finished = True
+            self.payload = self.body = b""
             if self.timer is not None:
                 self.timer.cancel()
             self.on_done(result)
--- a/ivymux/data_plane/backend_connection.py
+++ b/ivymux/data_plane/backend_connection.py
@@ -93,8 +93,7 @@
     def send(self, attempt: Attempt) -> None:
         assert self.transport is not None
         self.attempt, attempt.connection = attempt, self
-        self.transport.write(attempt.payload)
-        attempt.payload = b""
+        attempt.write_to(self.transport)
 
     def pause_writing(self) -> None:
         self.has_unsent_bytes = True
--- a/ivymux/data_plane/frontend.py
+++ b/ivymux/data_plane/frontend.py
@@ -65,6 +65,21 @@
     hold_s: float = 0.0  # delay before it is passed to the decision module (fault injection)
     drops_answer: bool = False  # whether the client gets no answer from a backend (fault injection)
     on_departure: OnDeparture = OnDeparture.RUN_ON
+    body: bytes = b""  # sent behind the payload; a long one is never copied into it
+
+    def release(self) -> None:
+        """Drop what was only needed to send the request, such as its body; called once it is finished.
+
+        A request, its exchange and its call refer to each other, so all of them stay in memory until the
+        garbage collector runs.
+        """
+        self.body = b""
+        self.make_payload, self.make_payload_for = _released_payload, None
+        self.claim = self.on_finished = None
+
+
+def _released_payload(seconds_left: float) -> bytes:
+    raise AssertionError("the request is finished")
 
 
 class Frontend(Protocol):
--- a/ivymux/data_plane/host.py
+++ b/ivymux/data_plane/host.py
@@ -302,7 +302,7 @@
             else call.make_payload(timeout)
         )
         attempt = self.upstream.start_attempt(
-            action.backend, payload, timeout, on_done, call.is_head, call.request_id
+            action.backend, payload, timeout, on_done, call.is_head, call.request_id, call.body
         )
         if not attempt.is_finished:
             request.attempts[number] = attempt
@@ -364,6 +364,7 @@
             if (claim := request.call.claim) is not None:
                 claim.finish(self.backend_answer(request), request.may_have_run)
             request.answer = request.last_result = None  # their bodies are not kept until it is collected
+            request.call.release()
 
     def backend_answer(self, request: OpenRequest) -> Answer | None:
         """Return the complete backend answer that ended a request, whether or not its client received it."""
--- a/ivymux/data_plane/upstream.py
+++ b/ivymux/data_plane/upstream.py
@@ -173,12 +173,14 @@
         on_done: Callable[[Result], None],
         is_head: bool = False,
         request_id: bytes = b"",
+        body: bytes = b"",
     ) -> Attempt:
         """Start an attempt; `timeout` is in seconds.
 
-        `is_head`: its answer has no body; `request_id`: which the answer has to repeat.
+        `is_head`: its answer has no body; `request_id`: which the answer has to repeat; `body`: sent behind
+        the payload.
         """
-        attempt = Attempt(payload, on_done, is_head, request_id)
+        attempt = Attempt(payload, on_done, is_head, request_id, body)
         pool = self.pools.get(backend)
         if pool is None:
             self.loop.call_soon(attempt.fail, Outcome.CONNECT_FAILED)
--- a/ivymux/platform/frontend.py
+++ b/ivymux/platform/frontend.py
@@ -54,7 +54,7 @@
             head += b"Content-Length: %d\r\n" % len(content)
 
         def make_payload(time_left: float) -> bytes:
-            return b"%sRequest-Timeout: %dm\r\n\r\n%s" % (head, max(1, int(time_left * 1000)), content)
+            return b"%sRequest-Timeout: %dm\r\n\r\n" % (head, max(1, int(time_left * 1000)))
 
         def make_event(request: int) -> i.Request:
             return i.Request(
@@ -62,7 +62,7 @@
                 terms.spread, terms.first, terms.is_retry, method == b"POST",
             )  # fmt: skip
 
-        return Call(terms.request_id, deadline, make_event, make_payload)
+        return Call(terms.request_id, deadline, make_event, make_payload, body=content)
 
     def refusal(self, error: BadRequest) -> Answer:
         return Answer(error.status, f"{error}\n".encode(), retry_after=1.0 if error.status == 503 else 0.0)
--- a/ivymux/proxy/frontend.py
+++ b/ivymux/proxy/frontend.py
@@ -161,8 +161,8 @@
         instance_id = self.instance_id
 
         def make_payload_for(remaining_s: float, backend: int) -> bytes:
-            return b"%sTarget-Instance: %s\r\nTime-Remaining: %d\r\n\r\n%s" % (
-                head, instance_id(backend), max(1, int(remaining_s * 1000)), content
+            return b"%sTarget-Instance: %s\r\nTime-Remaining: %d\r\n\r\n" % (
+                head, instance_id(backend), max(1, int(remaining_s * 1000))
             )  # fmt: skip
 
         tables, proxy_count = self.tables, self.proxy_count
@@ -179,7 +179,7 @@
         return Call(
             b"", deadline, make_event, _no_payload, method == b"HEAD", try_id,
             make_payload_for=make_payload_for, claim=claim, hold_s=hold_s, drops_answer=drops_answer,
-            on_departure=OnDeparture.for_request(route.is_idempotent),
+            on_departure=OnDeparture.for_request(route.is_idempotent), body=content,
         )  # fmt: skip
 
     def shard_holder(self, service: str, key: bytes) -> int:
--- a/ivymux/service/frontend.py
+++ b/ivymux/service/frontend.py
@@ -148,7 +148,7 @@
         classes, class_number = self.table.classes, decision.cls
 
         def make_payload(seconds_left: float) -> bytes:
-            return b"%srequest-timeout: %dm\r\n\r\n%s" % (head, max(1, int(seconds_left * 1000)), content)
+            return b"%srequest-timeout: %dm\r\n\r\n" % (head, max(1, int(seconds_left * 1000)))
 
         def make_event(request: int) -> i.Request:
             return i.Request(
@@ -160,7 +160,7 @@
         return Call(
             b"", deadline, make_event, make_payload, method == b"HEAD", request_id,
             partial(classes.release, class_number),
-            on_departure=OnDeparture.for_request(decision.effect is Effect.SAFE),
+            on_departure=OnDeparture.for_request(decision.effect is Effect.SAFE), body=content,
         )  # fmt: skip
 
     def read_host(self, headers: Headers) -> bytes:
--- /dev/null
+++ b/tests/system/test_memory.py
@@ -0,0 +1,60 @@
+"""The memory of a proxy's process under long bodies, against the `memory_mb` of its settings."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+
+from ivymux.simulation.local_cluster import LocalCluster, build_configuration, local_cluster
+
+MEMORY_MB = 300  # in the settings that a LocalCluster writes
+LONG_BODY = b"b" * (24 << 20)
+TIME_REMAINING = "20000"  # milliseconds
+
+
+def peak_memory_mb(process_id: int) -> float:
+    """Return the most memory that a process has had resident so far, in MB."""
+    for line in Path(f"/proc/{process_id}/status").read_text(encoding="ascii").splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / 1024
+    raise AssertionError("no VmHWM")
+
+
+@contextlib.asynccontextmanager
+async def one_proxy(folder: Path) -> AsyncIterator[LocalCluster]:
+    """Run one proxy with a backend of each service, and routes with a long deadline."""
+    async with local_cluster(folder, proxy_count=1) as cluster:
+        await cluster.start_all(initial_start=True)
+        configuration = build_configuration(1)
+        for route in configuration["route_table"]:
+            route["deadline"] = "20s"
+        await cluster.put_configuration(configuration)
+        for service in ("archive", "desk"):
+            await cluster.start_backend(f"{service}-1", service)
+        await cluster.wait_until_served(cluster.proxy_ips[0])
+        yield cluster
+
+
+# Guards against bodies that stay in memory after their requests, until the proxy is killed (issue 76).
+@pytest.mark.parametrize("headers", [{}, {"Idempotency_Key": '"key-{number}"'}])
+def test_long_bodies_one_after_another_stay_within_the_memory(
+    tmp_path: Path, headers: dict[str, str]
+) -> None:
+    async def scenario() -> None:
+        async with one_proxy(tmp_path) as cluster:
+            (proxy,) = cluster.proxy_ips
+            for number in range(30):
+                answer = await cluster.send_request(
+                    proxy, "POST", f"/sign/{number}", content=LONG_BODY, Time_Remaining=TIME_REMAINING,
+                    **{name: value.format(number=number) for name, value in headers.items()},
+                )  # fmt: skip
+                assert answer is not None and answer.status_code == 200
+                for backend in cluster.backends:
+                    backend.executed.clear()
+            assert peak_memory_mb(cluster.processes[proxy][0].pid) < MEMORY_MB
+
+    asyncio.run(scenario())
