--- a/ivymux/data_plane/backend_connection.py
+++ b/ivymux/data_plane/backend_connection.py
@@ -297,8 +297,7 @@
             self.transport.abort()
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.pool.upstream.held_bytes -= self.body_bytes
-        self.body_bytes = 0
+        self.reset()  # the parser and this connection refer to each other, and would keep what was read
         self.pool.forget(self)
         if (attempt := self.attempt) is not None:
             self.attempt = None
