Proxies: reading from backends pauses while many bytes of answers are held

5 rounds of 8 answers of 24 MB at once: peak memory of a proxy 301 and 304 MB of 300, 17 and 21 of 40 replaced by 502 though they had run. Cause: answers that arrive and answers that wait for clients had a quarter of the memory each, and beyond it an answer was thrown away. Now both count together; beyond the limit, reading pauses on all but the answer that has been arriving for longest, and short ones (answer_flow.py, pure).

--- a/ivymux/data_plane/answer_policy.py
+++ b/ivymux/data_plane/answer_policy.py
@@ -13,7 +13,8 @@
 
     passes_all_statuses: bool  # whether each status is passed on with its headers; else only bodies of 200s
     max_body_bytes: int  # of one answer
-    max_held_bytes: int  # of the bodies of all answers that are being received
+    # Of the bodies of all answers that are being received or wait for clients; beyond it, reading pauses.
+    max_held_bytes: int
     not_run_header: bytes = b"not-started"  # in which a backend says that it did not execute a request
     request_id_header: bytes = b""  # in which an answer repeats its request's id; empty if it does not
     requires_framing: bool = False  # whether an answer without length or chunks counts as cut off
--- a/ivymux/data_plane/backend_connection.py
+++ b/ivymux/data_plane/backend_connection.py
@@ -53,7 +53,7 @@
     def reset(self) -> None:
         """Prepare for the answer to the next request."""
         self.read_bytes = 0  # of the current answer, including interim answers
-        self.pool.upstream.held_bytes -= self.body_bytes
+        self.pool.upstream.answer_flow.remove(self)
         self.result: Result | None = None  # set once the answer is complete
         self.is_reusable = False
         self.head_bytes = b""  # what was read before the final answer's header section was complete
@@ -101,6 +101,15 @@
     def resume_writing(self) -> None:
         self.has_unsent_bytes = False
 
+    def pause_reading(self) -> None:
+        """Leave further bytes of the answer to the kernel, whose buffers hold the backend up."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     # --- the answer --------------------------------------------------------------------------------
 
     def data_received(self, data: bytes) -> None:
@@ -248,11 +257,9 @@
         if self.is_bodiless:
             raise InvalidAnswer("a body after an answer that has none")
         self.body_bytes += len(body)
-        self.pool.upstream.held_bytes += len(body)
         if self.body_bytes > self.policy.max_body_bytes:
             raise InvalidAnswer(f"its body is longer than {self.policy.max_body_bytes} bytes")
-        if self.pool.upstream.held_bytes > self.policy.max_held_bytes:
-            raise InvalidAnswer("too many bytes of answers are buffered")
+        self.pool.upstream.answer_flow.add(self, len(body))
         self.body.append(body)
 
     def on_message_complete(self) -> None:
@@ -276,7 +283,7 @@
                 raise InvalidAnswer("the answer belongs to another request")
             self.had_mismatch = True
             self.pool.upstream.mismatched_answers += 1
-            self.pool.upstream.held_bytes -= self.body_bytes
+            self.pool.upstream.answer_flow.remove(self)
             self.begin_answer()
             return
         self.result = Result(
--- a/ivymux/data_plane/client_connection.py
+++ b/ivymux/data_plane/client_connection.py
@@ -322,6 +322,7 @@
     def resume_writing(self) -> None:
         self.server.slow_readers.pop(self, None)
         self.resume_reading()
+        self.server.on_answers_read()
 
     def resume_reading(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -6,7 +6,7 @@
 import socket
 import time
 from collections import OrderedDict
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from itertools import islice
 from typing import TYPE_CHECKING
 
@@ -65,6 +65,8 @@
         self.listening_socket: socket.socket | None = None  # until connections are accepted from it
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.close_overdue)
         self.refusal_log = host.refusal_log if host is not None else RefusalLog()
+        # Called when clients may have read answers that waited.
+        self.on_answers_read: Callable[[], None] = lambda: None
 
     def refusal(self, error: BadRequest) -> Answer:
         """Return the answer to a refused request; count it if the gateway's own limits are the cause."""
@@ -188,6 +190,7 @@
                 else:
                     client.abort()
         self.close_stalled_readers()
+        self.on_answers_read()
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.close_overdue)
 
     def limit_slow_readers(self) -> None:
@@ -210,6 +213,10 @@
             elif now - progress.at > UNREAD_TIMEOUT_S:
                 client.abort()
 
+    def unread_answer_bytes(self) -> int:
+        """Return the memory of the answers that clients with full write buffers have not read yet."""
+        return sum(client.held_answer_bytes for client in self.slow_readers)
+
     def has_unsent_answers(self) -> bool:
         """Whether any client has not yet read all of its answers, as far as they are in this process."""
         return any(client.unsent_bytes for client in self.clients)
--- a/ivymux/data_plane/upstream.py
+++ b/ivymux/data_plane/upstream.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Container
 
+from ivymux.data_plane.answer_flow import AnswerFlow
 from ivymux.data_plane.answer_policy import PLATFORM_POLICY, AnswerPolicy
 from ivymux.data_plane.attempt import Attempt, Result
 from ivymux.data_plane.backend_connection import BackendConnection
@@ -110,7 +111,7 @@
         self.answer_policy = answer_policy
         self.mismatched_answers = 0  # answers that belonged to an earlier request
         self.interrupted_writes = 0  # attempts whose connection ended before their request was fully written
-        self.held_bytes = 0  # of the bodies of answers that are being received
+        self.answer_flow = AnswerFlow(answer_policy.max_held_bytes)
         self.connect_timeout, self.report_columns = connect_timeout, report_columns
         self.max_connections = max_connections
         self.default_max_idle_s = IDLE_TIME_SHARE * conn_idle
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -124,6 +124,8 @@
         )
         self.server = Server(self.frontend, settings.listen_address("front_addr"), bounds, self.host)
         self.server.listening_socket = self.sockets.take(self.server.listen)
+        upstream.answer_flow.unread_bytes = self.server.unread_answer_bytes
+        self.server.on_answers_read = upstream.answer_flow.update
         status_bounds = Bounds(64, 8, 0, 1 << 16)
         self.ready_server = Server(
             StatusPagesFrontend({READINESS: self.answer_readiness}),
--- a/tests/system/test_memory.py
+++ b/tests/system/test_memory.py
@@ -10,6 +10,7 @@
 import pytest
 
 from ivymux.simulation.local_cluster import LocalCluster, build_configuration, local_cluster
+from standins.backend import Backend
 
 MEMORY_MB = 300  # in the settings that a LocalCluster writes
 LONG_BODY = b"b" * (24 << 20)
@@ -58,3 +59,25 @@
             assert peak_memory_mb(cluster.processes[proxy][0].pid) < MEMORY_MB
 
     asyncio.run(scenario())
+
+
+# Guards against answers that arrive at once and together take more memory than the process has (issue 76).
+def test_long_answers_at_once_stay_within_the_memory(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with one_proxy(tmp_path) as cluster:
+            (proxy,) = cluster.proxy_ips
+            for backend in cluster.backends:
+                backend.make_answer = lambda request: Backend.encode_answer(
+                    200, request.id, LONG_BODY, f"Server-Seal: seal-{request.id}\r\n"
+                )
+            for _ in range(5):
+                requests = (
+                    cluster.send_request(proxy, path=f"/read/{number}", Time_Remaining=TIME_REMAINING)
+                    for number in range(8)
+                )
+                answers = await asyncio.gather(*requests)
+                # None is replaced by a failure for lack of room; clients that read slowly may be closed.
+                assert {answer.status_code for answer in answers if answer is not None} == {200}
+            assert peak_memory_mb(cluster.processes[proxy][0].pid) < MEMORY_MB
+
+    asyncio.run(scenario())
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -45,6 +45,7 @@
     "ivymux.tally.journal",
     "ivymux.tally.engine",
     "ivymux.tally.clock",
+    "ivymux.data_plane.answer_flow",
     "ivymux.data_plane.answer_policy",
     "ivymux.service.headers",
     "ivymux.service.problem",
--- a/tests/test_surplus_bytes.py
+++ b/tests/test_surplus_bytes.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from ivymux.data_plane.answer_flow import AnswerFlow
 from ivymux.data_plane.attempt import Attempt, Result
 from ivymux.data_plane.backend_connection import BackendConnection
 from ivymux.proxy.answer_policy import proxy_answer_policy
@@ -66,8 +67,9 @@
 
     def __init__(self) -> None:
         upstream = SimpleNamespace(
-            answer_policy=proxy_answer_policy(1 << 20, 1 << 22), held_bytes=0, mismatched_answers=0,
-            interrupted_writes=0, parse_report=lambda text: (), loop=SimpleNamespace(call_soon=self.call),
+            answer_policy=proxy_answer_policy(1 << 20, 1 << 22), answer_flow=AnswerFlow(1 << 22),
+            mismatched_answers=0, interrupted_writes=0, parse_report=lambda text: (),
+            loop=SimpleNamespace(call_soon=self.call),
         )  # fmt: skip
         pool = SimpleNamespace(upstream=upstream, backend=1, put_back=self.put_back, forget=lambda _: None)
         self.reused = False
