Starts: settings that are written while they are read are read again

Seen once in a test beside other work: a program whose settings had been empty for more than a second ended with code 2, 'Expected object, got null', in the moment in which they were written. Cause: the file is read, found empty, and then judged by what it holds meanwhile: a file that is not empty has 1 s, which had passed. Now a file that changed since before it was read never ends the start.

--- a/ivymux/runtime/settings_file.py
+++ b/ivymux/runtime/settings_file.py
@@ -43,6 +43,8 @@
         try:
             return load(path), fingerprint
         except SettingsError:
-            if now - changed_at > (MAX_EMPTY_S if is_empty(path) else MAX_INVALID_S):
+            max_unchanged_s = MAX_EMPTY_S if is_empty(path) else MAX_INVALID_S
+            has_changed = file_fingerprint(path) != fingerprint  # while it was read
+            if not has_changed and now - changed_at > max_unchanged_s:
                 raise
         time.sleep(RETRY_INTERVAL_S)
--- a/tests/runtime/test_successors.py
+++ b/tests/runtime/test_successors.py
@@ -13,8 +13,10 @@
 import pytest
 
 from ivymux.data_plane.limits import Address
+from ivymux.runtime import settings_file
 from ivymux.runtime.listening_sockets import ListenError, ListeningSockets
 from ivymux.runtime.log import Log
+from ivymux.runtime.settings import Settings, load
 from ivymux.simulation.local_cluster import ROOT, LocalCluster
 
 from ..sockets import run
@@ -139,3 +141,26 @@
             assert await registry.process.wait() == 2
 
     run(test())
+
+
+# Guards against a start that ends as its settings are written between reading and judging them (issue 76).
+def test_settings_that_are_written_while_they_are_read_are_read_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    path = LocalCluster(tmp_path).write_settings("127.0.0.1", True)
+    text = path.read_text()
+    path.write_text("")
+    monkeypatch.setattr(settings_file, "MAX_INVALID_S", -1.0)  # the file has been empty for longer than that
+    reads: list[str] = []
+
+    def load_and_write(path: Path) -> Settings:
+        reads.append(path.read_text())
+        try:
+            return load(path)
+        finally:
+            path.write_text(text)
+
+    monkeypatch.setattr(settings_file, "load", load_and_write)
+    settings, _ = settings_file.load_when_written(path)
+    assert settings.ip == "127.0.0.1"
+    assert reads == ["", text]
