Config stores: a disk that fails no longer ends the process

The reason for the end stands: memory is ahead of the disk, and nothing may be sent that depends on a failed write. So the store is given up as if its process had been killed: connections and tasks end, a write that hangs is waited for, and a new store begins with what the disk holds once it can be written, at the same address. Meanwhile calls are refused at once and other stores find nobody, so the argument and the models for killed processes hold unchanged. A first start waits for its disk too; a folder that cannot be used at all still ends it with code 2. An empty folder after a failure is a new identity, also under initial_start. Rejected: repeating the failed write, as a full disk would keep the very write that does not fit in front of those that would make room.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -21,7 +21,7 @@
 TARGET = ROOT / "target"
 INSTALLED = TARGET / "deps"
 STAMP_NAME = "built-for.txt"  # within the folder of the packages
-PROGRAMS = ("ivymux.proxy.program", "ivymux.registry.program", "ivymux.config_store.program")
+PROGRAMS = ("ivymux.proxy.program", "ivymux.registry.program", "ivymux.config_store.disk_recovery")
 ATTEMPTS = 3  # a package registry may fail once
 
 
--- a/ivymux/config_store/durable_store.py
+++ b/ivymux/config_store/durable_store.py
@@ -8,6 +8,7 @@
 import os
 import secrets
 from collections.abc import Iterator
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -24,6 +25,7 @@
 FOLDER = "exchange"  # within the data folder; the name that stores of earlier releases have
 RECORD_PREFIX = b"ticket/"  # before the key of an idempotency record
 HISTORY_PREFIX = b"history/"  # before each stored version
+CHECK_KEY = b"check"
 FOUNDER_TOKEN = "first"  # of a machine that took part in the first start
 
 _encode = msgspec.json.encode
@@ -33,6 +35,29 @@
     """The data folder cannot be used; the text is one line."""
 
 
+class DiskFailure(DurableStoreError):
+    """The disk did not do what it was asked to; it may do so later."""
+
+
+# With these, a data folder cannot be used until somebody mends it.
+LASTING_ERRORS = (
+    PermissionError,
+    FileExistsError,
+    FileNotFoundError,
+    NotADirectoryError,
+    lmdb.CorruptedError,
+    lmdb.InvalidError,
+    lmdb.InvalidParameterError,
+    lmdb.ReadonlyError,
+    lmdb.VersionMismatchError,
+)
+
+
+def store_error(text: str, cause: Exception) -> DurableStoreError:
+    """Return the error that says whether its cause may pass by itself."""
+    return DurableStoreError(text) if isinstance(cause, LASTING_ERRORS) else DiskFailure(text)
+
+
 class DurableStore:
     """The durable state of one replica."""
 
@@ -43,7 +68,7 @@
             folder.mkdir(parents=True, exist_ok=True)
             self.env = lmdb.open(str(folder / FOLDER), map_size=MAP_SIZE, max_dbs=0, readahead=False)
         except (OSError, lmdb.Error) as error:
-            raise DurableStoreError(f"{folder}: the store cannot be opened: {error}") from None
+            raise store_error(f"{folder}: the store cannot be opened: {error}", error) from None
 
     def load(self, address: str, initial: bool, seeds: tuple[str, ...]) -> DurableState:
         """Return the stored state; a machine with an empty folder first gets an identity.
@@ -62,9 +87,11 @@
                 {record.key: record for record in self.idempotency_records()},
                 self.history(state),
             )
-        except (lmdb.Error, OSError, ValueError, TypeError) as error:
+        except (ValueError, TypeError) as error:
             why = f"{self.folder}: the store cannot be read: {error}; clear the folder"
             raise DurableStoreError(why) from None
+        except (lmdb.Error, OSError) as error:
+            raise store_error(f"{self.folder}: the store cannot be used: {error}", error) from None
 
     def create_identity(self, address: str, initial: bool, seeds: tuple[str, ...]) -> str:
         """Store and return a new identity's token, before any message is sent under it.
@@ -115,12 +142,44 @@
                 for step in steps:
                     _write_step(transaction, step)
         except (lmdb.Error, OSError) as error:
-            raise DurableStoreError(f"{self.folder}: cannot be written: {error}") from None
+            raise DiskFailure(f"{self.folder}: cannot be written: {error}") from None
+
+    def check_writable(self) -> None:
+        """Write to the disk and wait for it.  Raises DiskFailure."""
+        try:
+            with self.env.begin(write=True) as transaction:
+                transaction.put(CHECK_KEY, b"")
+        except (lmdb.Error, OSError) as error:
+            raise DiskFailure(f"{self.folder}: cannot be written: {error}") from None
 
     def close(self) -> None:
         self.env.close()
 
 
+@dataclass(frozen=True, slots=True)
+class OpenedStore:
+    """A store, and what was on its disk when it was opened."""
+
+    store: DurableStore
+    durable: DurableState
+
+
+def open_store(folder: Path, address: str, initial: bool, seeds: tuple[str, ...]) -> OpenedStore:
+    """Open the store in a folder, and make its files durable; the arguments are those of `load`.
+
+    Raises DurableStoreError.
+    """
+    store = DurableStore(folder)
+    try:
+        durable = store.load(address, initial, seeds)
+    except DurableStoreError:
+        store.close()
+        raise
+    sync_folder(folder)
+    sync_folder(folder / FOLDER)
+    return OpenedStore(store, durable)
+
+
 def _write_step(transaction: lmdb.Transaction, step: Persist) -> None:
     for name, value in ((b"record", step.epoch_record), (b"promised", step.promised), (b"state", step.state)):
         if value is not None:
--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 from collections import deque
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
@@ -23,7 +24,7 @@
 )
 from ivymux.config_store.calls import ReportHoldings, ReportLoads
 from ivymux.config_store.changes import NO_VERSION
-from ivymux.config_store.durable_store import FOLDER, DurableStore, DurableStoreError, sync_folder
+from ivymux.config_store.durable_store import OpenedStore
 from ivymux.config_store.isolation import IsolationDetector
 from ivymux.config_store.messages import PROTOCOL_VERSION, Greeting, ReplicaMessage
 from ivymux.config_store.records import ReplicatedSetting, address_of
@@ -31,7 +32,6 @@
 from ivymux.config_store.shard_service import ShardService, StoredTable
 from ivymux.config_store.timing import LEASE_S
 from ivymux.data_plane.limits import Address
-from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
 from ivymux.transport.connection import Connection, Connector, Listener, TransportError
@@ -46,12 +46,11 @@
 CALL_POLL_INTERVAL_S = 0.05
 MIN_FORWARD_TIMEOUT_S = 0.02  # with less time left, a call is not forwarded
 GET_TIMEOUT_S = 0.7
-MAX_QUEUE = 5000  # actions that may wait for the disk
+MAX_QUEUE = 5000  # actions that may wait for the disk before it counts as failed
 MAX_PEERS = 32  # core machines to connect to
 MAX_TASKS = 4000  # calls of registries and proxies in progress
 MAX_FAILED_CONNECTS = 40  # after which an unknown machine is no longer connected to
 LOGGED_INVALID_COUNTS = (1, 10, 100, 1000)  # invalid messages are logged at these counts only
-EXIT_DISK_FAILED = 3
 
 log = Log("config_store")
 
@@ -59,22 +58,14 @@
 class ConfigStore:
     """The config store of one core machine: hosts its replica and carries out the replica's actions."""
 
-    def __init__(self, settings: Settings, sockets: ListeningSockets | None = None) -> None:
-        """Load the replica's state from disk.  Raises DurableStoreError.
-
-        `sockets`: listen already at the address.  Whoever holds it is the only user of the data folder.
-        """
-        self.sockets = sockets or ListeningSockets()
+    def __init__(
+        self, settings: Settings, opened: OpenedStore, on_disk_failed: Callable[[str], None]
+    ) -> None:
+        """`on_disk_failed`: called once, with the reason, if the disk fails; nothing more is written then."""
         self.settings = settings
-        if settings.data_path is None:
-            raise DurableStoreError(
-                "self_entity.data_path: a configuration store needs a disk; name its folder"
-            )
-        self.durable_store = DurableStore(settings.data_path)
-        seeds = tuple(dict.fromkeys(a.host for a in settings.seed_addresses))
-        durable = self.durable_store.load(settings.ip, settings.is_initial_start, seeds)
-        sync_folder(settings.data_path)
-        sync_folder(settings.data_path / FOLDER)
+        self.durable_store, durable = opened.store, opened.durable
+        self.on_disk_failed = on_disk_failed
+        self.has_disk_failed = self.is_abandoned = False
         self.replica = Replica(durable, time.monotonic(), settings.backup_count)
         self.shards = ShardService(
             self.replica,
@@ -85,7 +76,8 @@
         self.storing: set[str] = set()  # services whose tables of shards are being stored
         self.disk_executor = ThreadPoolExecutor(1)
         self.queue: deque[Action] = deque()  # actions that wait for the write in progress
-        self.writing: list[Persist] = []  # the write in progress
+        self.writing: list[Persist] = []  # the write in progress, or the one that failed
+        self.write: asyncio.Future[None] | None = None  # the same, as it runs in the executor
         self.after_write: list[Action] = []  # actions to carry out once that write is done
         self.peers: dict[str, Connector] = {}  # by address
         self.listener = Listener(self.on_message, on_disconnect=self.on_disconnect)
@@ -101,7 +93,7 @@
         self.is_ending = False
         self.tasks: set[asyncio.Task[None]] = set()
         members = sorted(durable.epoch_record.voters()) if durable.epoch_record else ()
-        for address in (*seeds, *(address_of(member) for member in members)):
+        for address in (*settings.seed_hosts(), *(address_of(member) for member in members)):
             self.connect_to(address)
         epoch = f"epoch {durable.epoch_record.number}" if durable.epoch_record else "no epoch"
         version = durable.state.version if durable.state else "none"
@@ -112,10 +104,10 @@
         """Return the addresses that a config store listens at."""
         return (Address(settings.ip, settings.config_store_port),)
 
-    async def start(self) -> None:
-        """Listen for connections and start the replica's timer."""
+    async def start(self, listening: socket.socket) -> None:
+        """Accept connections from a socket that listens, and start the replica's timer."""
         (address,) = self.listen_addresses(self.settings)
-        await self.listener.start(address, self.sockets.take(address))
+        await self.listener.start(address, listening)
         self.spawn(self.run())
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> None:
@@ -267,10 +259,9 @@
     # --- actions -------------------------------------------------------------------------------------
 
     def carry_out(self, actions: list[Action]) -> None:
-        """Carry out a replica's actions in order, each after the writes that it depends on.
-
-        Raises SystemExit if too many actions wait for the disk.
-        """
+        """Carry out a replica's actions in order, each after the writes that it depends on."""
+        if self.is_abandoned:
+            return
         for action in actions:
             is_behind_write = self.queue or self.writing or isinstance(action, Persist)
             if is_behind_write and not may_overtake(action, [*self.writing, *self.queue]):
@@ -278,8 +269,7 @@
             else:
                 self.carry_out_now(action)
         if len(self.queue) > MAX_QUEUE:
-            log.info("the disk does not answer; this process ends.")
-            raise SystemExit(EXIT_DISK_FAILED)
+            self.fail_disk(f"it does not answer, and {len(self.queue)} actions wait for it")
         if self.queue and not self.writing:
             self.start_write()
 
@@ -287,31 +277,53 @@
         """Write all queued steps in one commit; the other queued actions follow it in order."""
         while self.queue and not isinstance(self.queue[0], Persist):
             self.carry_out_now(self.queue.popleft())
-        if not self.queue:
+        if not self.queue or self.has_disk_failed:
             return
         self.writing = [a for a in self.queue if isinstance(a, Persist)]
         self.after_write = [a for a in self.queue if not isinstance(a, Persist)]
         self.queue.clear()
         loop = asyncio.get_running_loop()
-        write = loop.run_in_executor(self.disk_executor, self.durable_store.write, self.writing)
-        write.add_done_callback(self.on_written)
+        self.write = loop.run_in_executor(self.disk_executor, self.durable_store.write, self.writing)
+        self.write.add_done_callback(self.on_written)
 
     def on_written(self, write: asyncio.Future[None]) -> None:
-        """Carry out the actions that waited for a write, then start the next; a failure ends the process."""
-        self.writing = []
+        """Carry out the actions that waited for a write, then start the next."""
         error = write.exception() if not write.cancelled() else None
+        if self.is_abandoned:
+            return
         if error is not None:
-            # Earlier messages of this machine stay valid, but none may be sent that depends on this write.
-            log.info(f"the disk failed: {error}; this process ends.")
-            asyncio.get_running_loop().call_soon(self.exit_on_disk_failure)
+            # `writing` stays: no message may be sent that depends on this write.
+            self.fail_disk(str(error))
             return
+        self.writing = []
         actions, self.after_write = self.after_write, []
         for action in actions:
             self.carry_out_now(action)
         self.start_write()
 
-    def exit_on_disk_failure(self) -> None:
-        raise SystemExit(EXIT_DISK_FAILED)
+    def fail_disk(self, why: str) -> None:
+        """Report that the disk failed, once the step in progress is over."""
+        if not self.has_disk_failed:
+            self.has_disk_failed = True
+            asyncio.get_running_loop().call_soon(self.on_disk_failed, why)
+
+    async def abandon(self) -> None:
+        """End all connections and tasks at once, and close the store when no write uses it any more.
+
+        What other machines and this disk know of this store is then the same as after a killed process.
+        """
+        self.is_ending = self.is_abandoned = True
+        self.queue.clear()
+        self.after_write = []
+        for task in self.tasks:
+            task.cancel()
+        for peer in self.peers.values():
+            peer.close()
+        self.listener.close()
+        if self.write is not None:
+            await asyncio.wait([self.write])
+        self.disk_executor.shutdown(wait=False)
+        self.durable_store.close()
 
     def carry_out_now(self, action: Action) -> None:
         """Carry out an action that depends on no write, or whose writes are on disk."""
--- a/ivymux/runtime/program.py
+++ b/ivymux/runtime/program.py
@@ -200,6 +200,6 @@
         from ivymux.registry.program import Registry
 
         return Registry
-    from ivymux.config_store.program import ConfigStore
+    from ivymux.config_store.disk_recovery import RecoveringConfigStore
 
-    return ConfigStore
+    return RecoveringConfigStore
--- a/ivymux/runtime/settings.py
+++ b/ivymux/runtime/settings.py
@@ -131,6 +131,10 @@
         self.backup_count = max(1, machine_losses(file.terms_table.fault_tolerance))
         self.max_trial_s = seconds(file.trials.longest, "trials.longest")
 
+    def seed_hosts(self) -> tuple[str, ...]:
+        """Return the IP addresses of the seeds, each once."""
+        return tuple(dict.fromkeys(address.host for address in self.seed_addresses))
+
     def listen_address(self, name: str) -> Address:
         """Return one of the addresses to listen at.  Raises SettingsError if it is missing."""
         if name not in self.listen_addresses:
--- a/tests/config_store/test_isolation.py
+++ b/tests/config_store/test_isolation.py
@@ -8,8 +8,8 @@
 import yaml
 
 from ivymux.config_store.calls import PutConfiguration, encode
+from ivymux.config_store.disk_recovery import RecoveringConfigStore
 from ivymux.config_store.isolation import ISOLATION_DELAY_S, IsolationDetector
-from ivymux.config_store.program import ConfigStore
 from ivymux.config_store.records import EpochRecord, Membership
 from ivymux.data_plane.limits import Address
 from ivymux.runtime.settings import Settings, load
@@ -72,7 +72,7 @@
 def test_a_call_to_a_machine_without_a_majority_is_refused_before_its_timeout(tmp_path: Path) -> None:
     async def scenario() -> None:
         settings = settings_of_a_lone_core_machine(tmp_path)
-        store = ConfigStore(settings)
+        store = RecoveringConfigStore(settings)
         await store.start()
         registry = Connector(Address(settings.ip, settings.config_store_port), lambda _, message: None)
         try:
--- a/tests/test_system_build.py
+++ b/tests/test_system_build.py
@@ -33,7 +33,8 @@
         for program in ("proxy", "registry", "config_store"):
             package = self.root / "ivymux" / program
             package.mkdir(parents=True)
-            (package / "program.py").write_text("from one import ONE")
+            for module in ("program.py", "disk_recovery.py"):
+                (package / module).write_text("from one import ONE")
         (self.root / "deploy").mkdir()
         shutil.copy(ROOT / "deploy" / "build.py", self.root / "deploy")
         (self.root / "pyproject.toml").write_text('[project]\ndependencies = ["one==1"]\n')
