Log: a line that cannot be written is dropped, and changes no exit code

With the output on a full disk, or on a pipe whose reader is gone, all seven processes of a small system served, but ended a SIGTERM with code 120 in place of 0: what print could not write stays in its buffer, which fails again as the interpreter ends. A supervisor counts that as an end by itself.

--- a/ivymux/runtime/log.py
+++ b/ivymux/runtime/log.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import os
 import select
 import sys
 import time
@@ -21,8 +22,10 @@
     def __init__(self) -> None:
         self.second, self.lines, self.dropped = 0, 0, 0
         self.room = select.poll()
+        self.descriptor = -1
         if sys.stdout is not None:  # None where the process was started with its output closed
-            self.room.register(sys.stdout.fileno(), select.POLLOUT)
+            self.descriptor = sys.stdout.fileno()
+            self.room.register(self.descriptor, select.POLLOUT)
 
     def __call__(self, message: dict[str, object]) -> None:
         second = int(time.monotonic())
@@ -38,10 +41,16 @@
             self.dropped += 1
 
     def write(self, line: str) -> bool:
-        """Print a line without waiting; return whether there was room for it."""
+        """Write a line without waiting; return whether there was room for it.
+
+        Not by `print`: what that cannot write stays in its buffer, and fails once more as the process ends.
+        """
         if not self.room.poll(0):
             return False
-        print(line[:MAX_LINE_CHARS], flush=True)
+        try:
+            os.write(self.descriptor, f"{line[:MAX_LINE_CHARS]}\n".encode(errors="backslashreplace"))
+        except OSError:  # the disk is full, or nobody reads the pipe any more
+            return False
         return True
 
 
--- a/tests/runtime/test_ends.py
+++ b/tests/runtime/test_ends.py
@@ -50,20 +50,35 @@
     run(test())
 
 
+async def code_of_stopped_registry(folder: Path, redirections: str) -> int:
+    """Start a registry with these redirections of a shell, stop it once it serves; return its exit code."""
+    cluster = LocalCluster(folder)
+    (core, *_) = cluster.core_ips
+    path = cluster.write_settings(core, True)
+    command = f"exec {sys.executable} -m ivymux registry --settings {path} {redirections}"
+    process = await asyncio.create_subprocess_exec("/bin/sh", "-c", command, cwd=ROOT)
+    while process.returncode is None and (await cluster.call_core("GET", core, "/configuration"))[0] == 0:
+        await asyncio.sleep(0.02)
+    assert process.returncode is None
+    process.send_signal(signal.SIGTERM)
+    code = await process.wait()
+    await cluster.close()
+    return code
+
+
 # Guards against processes that abort because their standard streams are closed: sockets got these numbers.
 @pytest.mark.parametrize("closed", ["<&-", ">&-", "2>&-", "<&- >&- 2>&-"])
 def test_a_program_runs_and_stops_with_standard_streams_closed(tmp_path: Path, closed: str) -> None:
     async def test() -> None:
-        cluster = LocalCluster(tmp_path)
-        (core, *_) = cluster.core_ips
-        path = cluster.write_settings(core, True)
-        command = f"exec {sys.executable} -m ivymux registry --settings {path} {closed}"
-        process = await asyncio.create_subprocess_exec("/bin/sh", "-c", command, cwd=ROOT)
-        while process.returncode is None and (await cluster.call_core("GET", core, "/configuration"))[0] == 0:
-            await asyncio.sleep(0.02)
-        assert process.returncode is None
-        process.send_signal(signal.SIGTERM)
-        assert await process.wait() == 0
-        await cluster.close()
+        assert await code_of_stopped_registry(tmp_path, closed) == 0
+
+    run(test())
+
+
+# Guards against a stop with code 120 because the log could not be written (issue 76).
+@pytest.mark.parametrize("log", [">/dev/full", ">/dev/full 2>&1"])
+def test_a_program_runs_and_stops_with_a_log_that_cannot_be_written(tmp_path: Path, log: str) -> None:
+    async def test() -> None:
+        assert await code_of_stopped_registry(tmp_path, log) == 0
 
     run(test())
