--- a/tests/runtime/test_ends.py
+++ b/tests/runtime/test_ends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -56,7 +57,8 @@
     (core, *_) = cluster.core_ips
     path = cluster.write_settings(core, True)
     command = f"exec {sys.executable} -m ivymux registry --settings {path} {redirections}"
-    process = await asyncio.create_subprocess_exec("/bin/sh", "-c", command, cwd=ROOT)
+    environment = {name: text for name, text in os.environ.items() if name != "PYTHONUNBUFFERED"}
+    process = await asyncio.create_subprocess_exec("/bin/sh", "-c", command, cwd=ROOT, env=environment)
     while process.returncode is None and (await cluster.call_core("GET", core, "/configuration"))[0] == 0:
         await asyncio.sleep(0.02)
     assert process.returncode is None
