Soak: very long bodies, peak memory and stops that fail count

The soak read resident memory every half second and sent bodies of 400 kB at most, so it could not see a proxy at 587 MB of 300. Now every 2 s a request has a body of 4 to 24 MB, most of them at one proxy; the checker takes each process's peak as the kernel keeps it; and a process that ends its stop with a code above 0 counts as ended by itself.

--- a/ivymux/simulation/process_monitor.py
+++ b/ivymux/simulation/process_monitor.py
@@ -16,7 +16,7 @@
 
 @dataclass(frozen=True, slots=True)
 class UnrequestedEnd:
-    """A process that ended by itself; `code` is negative for the signal that ended it."""
+    """A process that ended by itself, or whose stop failed; a negative `code` is the signal that ended it."""
 
     machine: str  # its address
     role: str
@@ -51,7 +51,7 @@
     async def await_end(self, machine: str, role: str, process: asyncio.subprocess.Process) -> None:
         code = await process.wait()
         del self.running[process]
-        if process not in self.asked:
+        if process not in self.asked or code > 0:  # a stop ends with 0, or by the signal itself
             self.ends.append(UnrequestedEnd(machine, role, code))
         self.asked.discard(process)
 
@@ -70,7 +70,7 @@
             for process, place in self.running.items():
                 with contextlib.suppress(OSError):  # it has ended
                     peak = self.peaks.setdefault(place, PeakUse())
-                    peak.memory_mb = max(peak.memory_mb, resident_mb(process.pid))
+                    peak.memory_mb = max(peak.memory_mb, peak_memory_mb(process.pid))
                     peak.descriptors = max(peak.descriptors, len(os.listdir(f"/proc/{process.pid}/fd")))
             await asyncio.sleep(SAMPLE_INTERVAL_S)
 
@@ -79,9 +79,12 @@
             task.cancel()
 
 
-def resident_mb(process_id: int) -> float:
-    """Return the resident memory of a process in MB.  Raises OSError if it has ended."""
+def peak_memory_mb(process_id: int) -> float:
+    """Return the most memory that a process has had resident so far, in MB.
+
+    Raises OSError if it has ended.
+    """
     for line in Path(f"/proc/{process_id}/status").read_text(encoding="ascii").splitlines():
-        if line.startswith("VmRSS:"):
+        if line.startswith("VmHWM:"):
             return int(line.split()[1]) / KIB_PER_MB
     return 0.0
--- a/ivymux/simulation/soak_plan.py
+++ b/ivymux/simulation/soak_plan.py
@@ -48,6 +48,9 @@
 LEAVE_AFTER_S = 0.1
 BODY_SHARE = 0.1  # of the requests that may not run twice, those with a long body
 MAX_BODY_BYTES = 400_000
+FAVOURITE_SHARE = 0.7  # of the very long bodies, those to one proxy
+VERY_LONG_BODY_INTERVAL_S = 2.0  # between two requests with a very long body
+MIN_VERY_LONG_BODY_BYTES, MAX_VERY_LONG_BODY_BYTES = 4 << 20, 24 << 20
 MIN_DOWN_S, MAX_DOWN_S = 0.3, 8.0  # of a crashed backend; shorter and longer than its silence is noticed
 SPOILT_ANSWERS = 3  # of a backend, in one event
 SECOND_OPERATOR_SHARE = 0.4  # of the changes, those that are sent beside another one
@@ -75,6 +78,7 @@
     )
     events = [
         *draw_requests(seed, size),
+        *draw_very_long_bodies(seed, size),
         *draw_machine_troubles(seed, size),
         *draw_changes(seed, size),
         *draw_backend_troubles(seed, size),
@@ -104,6 +108,16 @@
         yield ClientRequest(round(at, 4), f"r{number}", door, path, method, leaves=leaves_s, body=body)
 
 
+def draw_very_long_bodies(seed: int, size: SoakSize) -> Iterator[Event]:
+    """Yield requests with very long bodies, most of them to the same proxy one after another."""
+    rng = random.Random(f"very long bodies {seed}")
+    favourite = rng.randrange(size.doors)
+    for number, at in enumerate(draw_times(rng, size, VERY_LONG_BODY_INTERVAL_S)):
+        door = favourite if rng.random() < FAVOURITE_SHARE else rng.randrange(size.doors)
+        body = rng.randint(MIN_VERY_LONG_BODY_BYTES, MAX_VERY_LONG_BODY_BYTES)
+        yield ClientRequest(at, f"long{number}", door, f"/sign/long{number}", "POST", body=body)
+
+
 class Machines:
     """When each machine is started, and when cores are disturbed, while a plan is drawn."""
 
--- a/tests/system/test_memory.py
+++ b/tests/system/test_memory.py
@@ -10,6 +10,7 @@
 import pytest
 
 from ivymux.simulation.local_cluster import LocalCluster, build_configuration, local_cluster
+from ivymux.simulation.process_monitor import peak_memory_mb
 from standins.backend import Backend
 
 MEMORY_MB = 300  # in the settings that a LocalCluster writes
@@ -17,14 +18,6 @@
 TIME_REMAINING = "20000"  # milliseconds
 
 
-def peak_memory_mb(process_id: int) -> float:
-    """Return the most memory that a process has had resident so far, in MB."""
-    for line in Path(f"/proc/{process_id}/status").read_text(encoding="ascii").splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / 1024
-    raise AssertionError("no VmHWM")
-
-
 @contextlib.asynccontextmanager
 async def one_proxy(folder: Path) -> AsyncIterator[LocalCluster]:
     """Run one proxy with a backend of each service, and routes with a long deadline."""
