--- a/ivymux/simulation/day_player.py
+++ b/ivymux/simulation/day_player.py
@@ -287,7 +287,7 @@
         self.lives[name] += 1
         instance = name if self.lives[name] == 1 else f"{name}-life-{self.lives[name]}"
         backend = self.backends[name] = await self.cluster.start_backend(instance, service, port)
-        backend.work_s = self.day.work
+        backend.work_s, backend.keeps_bodies = self.day.work, False
         observer = self.observers[name] = HistoryObserver(self, name, service)
         backend.observer, backend.make_answer = observer, observer.make_answer
 
--- a/standins/backend.py
+++ b/standins/backend.py
@@ -45,6 +45,7 @@
     answer_gate: asyncio.Event | None = None  # answers wait until it is set
     work_s: float = 0.0  # the time that a request takes
     late_s: float = 0.01  # see LATE_MARKER
+    keeps_bodies: bool = True  # whether `executed` holds the requests' bodies
     observer: RequestObserver = field(default_factory=RequestObserver)
     executed: list[ExecutedRequest] = field(default_factory=list)
     finished: list[str] = field(default_factory=list)  # IDs of requests whose work was completed
@@ -108,6 +109,8 @@
                         break
                 self.observer.on_end(request, completed=True)
                 data = self.make_answer(request)
+                if not self.keeps_bodies:
+                    request.body = b""
                 self.write_answer(writer, self.default_answer(request) if data is None else data)
                 if data is not None and data.endswith(CLOSE_MARKER):
                     break
