--- a/tests/config_store/test_disk_recovery.py
+++ b/tests/config_store/test_disk_recovery.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import re
 import shutil
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Iterable
 from pathlib import Path
 
 import pytest
@@ -28,6 +29,15 @@
         await asyncio.sleep(0.02)
 
 
+@contextlib.asynccontextmanager
+async def faulty_core(folder: Path) -> AsyncIterator[LocalCluster]:
+    """Run three core machines with disks that obey orders, and a first configuration."""
+    async with local_cluster(folder, proxy_count=0, entry_point=ENTRY_POINT) as cluster:
+        await cluster.start_all(initial_start=True)
+        await cluster.put_configuration(build_configuration(1))
+        yield cluster
+
+
 def ends(cluster: LocalCluster) -> list[str]:
     return [f"{end.role} {end.code}" for end in cluster.monitor.ends]
 
@@ -39,9 +49,7 @@
     tmp_path: Path, trouble: str, failed_stores: int
 ) -> None:
     async def scenario() -> None:
-        async with local_cluster(tmp_path, proxy_count=0, entry_point=ENTRY_POINT) as cluster:
-            await cluster.start_all(initial_start=True)
-            await cluster.put_configuration(build_configuration(1))
+        async with faulty_core(tmp_path) as cluster:
             order(cluster, cluster.core_ips, trouble)
             (first, *_) = cluster.core_ips
             status, _ = await cluster.call_core("PUT", first, "/configuration", build_configuration(2))
@@ -57,9 +65,7 @@
 
 def test_others_take_over_while_one_disk_fails_and_the_machine_comes_back(tmp_path: Path) -> None:
     async def scenario() -> None:
-        async with local_cluster(tmp_path, proxy_count=0, entry_point=ENTRY_POINT) as cluster:
-            await cluster.start_all(initial_start=True)
-            await cluster.put_configuration(build_configuration(1))
+        async with faulty_core(tmp_path) as cluster:
             failing = cluster.primary_ip()
             order(cluster, [failing], "refuse")
             assert (await cluster.put_configuration(build_configuration(2)))[0] == 200
@@ -80,9 +86,7 @@
 
 def test_a_store_that_waits_for_its_disk_can_be_stopped(tmp_path: Path) -> None:
     async def scenario() -> None:
-        async with local_cluster(tmp_path, proxy_count=0, entry_point=ENTRY_POINT) as cluster:
-            await cluster.start_all(initial_start=True)
-            await cluster.put_configuration(build_configuration(1))
+        async with faulty_core(tmp_path) as cluster:
             failing = cluster.primary_ip()
             order(cluster, [failing], "refuse")
             await cluster.put_configuration(build_configuration(2))
@@ -111,9 +115,7 @@
     """After a failure, an empty folder gives the machine a new identity, as after a restart."""
 
     async def scenario() -> None:
-        async with local_cluster(tmp_path, proxy_count=0, entry_point=ENTRY_POINT) as cluster:
-            await cluster.start_all(initial_start=True)
-            await cluster.put_configuration(build_configuration(1))
+        async with faulty_core(tmp_path) as cluster:
             failing = cluster.primary_ip()
             order(cluster, [failing], "refuse")
             assert (await cluster.put_configuration(build_configuration(2)))[0] == 200
