Programs: a process says once that it has come near its memory limit

Every 2 s, with the check of the settings, the kernel's peak is compared with four fifths of memory_mb.

--- a/ivymux/runtime/program.py
+++ b/ivymux/runtime/program.py
@@ -22,10 +22,11 @@
 from ivymux.data_plane.limits import Address, ConfigError
 from ivymux.runtime import log as logs
 from ivymux.runtime.listening_sockets import ListeningSockets
+from ivymux.runtime.memory_watch import MemoryWatch, peak_memory_mb
 from ivymux.runtime.settings import Settings, load, settings_path
 from ivymux.runtime.settings_file import file_fingerprint, load_when_written
 
-SETTINGS_POLL_INTERVAL_S = 2.0
+WATCH_INTERVAL_S = 2.0
 # Beyond `grace`, after which the platform kills a predecessor that still stops.
 LISTEN_MARGIN_S = 10.0
 
@@ -105,15 +106,19 @@
 
     loop.add_signal_handler(signal.SIGHUP, reload)
 
-    async def watch_settings() -> None:
+    memory_watch = MemoryWatch(log, settings.memory_mb)
+
+    async def watch() -> None:
+        """Notice changes of the settings, and memory near its limit."""
         previous = fingerprint
         while not stopping.is_set():
+            memory_watch.check(peak_memory_mb())
             current = file_fingerprint(path)
             if current != previous:
                 previous = current
                 reload()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(stopping.wait(), SETTINGS_POLL_INTERVAL_S)
+                await asyncio.wait_for(stopping.wait(), WATCH_INTERVAL_S)
 
     try:
         await program.start()
@@ -122,7 +127,7 @@
     sockets.close()
     gc.collect()
     gc.freeze()
-    watcher = loop.create_task(watch_settings())
+    watcher = loop.create_task(watch())
     await stopping.wait()
     watcher.cancel()
     await program.stop()
--- a/tests/runtime/test_program.py
+++ b/tests/runtime/test_program.py
@@ -41,7 +41,7 @@
 def test_settings_that_change_while_a_program_starts_are_taken(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(programs, "SETTINGS_POLL_INTERVAL_S", 0.05)
+    monkeypatch.setattr(programs, "WATCH_INTERVAL_S", 0.05)
 
     async def test() -> None:
         cluster = LocalCluster(tmp_path)
