Tests: connections that break at each byte are not cut short by a quota

Traced: its tenant has 500 requests a second and a burst of 500; this machine sends 1,200 a second, and the 429 came after 805 requests in 0.70 s, 931 in 0.92, 943 in 0.94, 987 in 1.06, 1013 in 1.12, 972 in 1.01, 1160 in 1.41, 1192 in 1.45 s, that is at 95 to 98% of 500 x t + 500, with 2 to 4 ms to come back. So its tenant has a limit that no machine reaches; every check is as before, 429 still counts as a failure.

--- a/tests/system/test_offsets.py
+++ b/tests/system/test_offsets.py
@@ -17,6 +17,8 @@
 from ivymux.simulation.local_cluster import LocalCluster, build_configuration, local_cluster
 from standins.backend import Backend
 
+FAR_ABOVE_RATE = 1_000_000  # requests a second that no machine sends here: quotas are not what is tested
+
 
 @dataclass(frozen=True, slots=True)
 class Break:
@@ -113,7 +115,9 @@
         async with local_cluster(tmp_path, proxy_count=1, timeout_s=100.0) as cluster:
             await cluster.start_all(initial_start=True)
             desk = await start_breaking_backend(cluster)
-            await cluster.put_configuration(build_configuration(1, sign="desk"))
+            configuration = build_configuration(1, sign="desk")
+            configuration["tenant_table"][0] |= {"rate_per_s": FAR_ABOVE_RATE, "burst_size": FAR_ABOVE_RATE}
+            await cluster.put_configuration(configuration)
             await cluster.wait_until_ready(cluster.proxy_ips[0])
             await cluster.wait_until_served(cluster.proxy_ips[0], "/sign/0")
 
