--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -19,6 +19,12 @@
         parse(text)
 
 
+def test_tests_of_misbehaving_clients_do_not_count_against_the_cap() -> None:
+    assert len(parse("a::b | c | issue 79\n" * 4 + "a::b | c | d\n" * 3)) == 7
+    with pytest.raises(ValueError, match="4 tests"):
+        parse("a::b | c | issue 79\n" + "a::b | c | d\n" * 4)
+
+
 def test_a_flaky_test_may_pass() -> None:
     assert (
         not parse("a::b | at times it leaks | 7")[0].fails_always
