Client ports: a head or trailer without end is refused while it arrives

Callers saw: 20 connections that send one header's name, its value or a trailer without end ended a process by its memory, on the ports front, ready and control (394 to 484 MB of 128, nine tests).

Cause: the parser keeps a header until its end, and reports it only then; the limit of 16 KiB was checked on what it reports.

Bytes are parsed in slices of 4 KiB, and those since the last part of a body or end of a request, which are all that the parser can hold, are limited to max_header_bytes and a slice. Heads that are being received are counted at the memory they take (a short header takes 160 bytes more than its text), all of one port to 1/16 of the memory; beyond it the largest is refused with 503, as nothing has run. A refused connection gets a new parser, so that what the old one holds is freed.

Evidence: the nine tests fail before and pass now (26 of the 36 of their kind run: the others still pass); tests of client connections, framing, service and hosting pass.

--- a/ivymux/data_plane/client_connection.py
+++ b/ivymux/data_plane/client_connection.py
@@ -19,6 +19,8 @@
 
 MAX_STRAY_BYTES = 1024  # received outside of requests, such as empty lines
 MAX_PIPELINED = 4  # unanswered requests on one connection
+SLICE_BYTES = 4 << 10  # parsed at a time, so that a parser holds no more than this before it is counted
+HEADER_MEMORY_BYTES = 160  # of a header that was parsed, beside its name and value
 MAX_DISCARD_BYTES = 1 << 20  # read from a refused client before reading pauses
 DISCARD_PAUSE_S = 0.01
 
@@ -72,6 +74,9 @@
         self.has_sent_eof = False  # whether the client has closed its sending side
         self.stray_bytes = 0  # since the last complete request
         self.held_bytes = 0  # of the body that is being received
+        self.unparsed_bytes = 0  # since the last part of a body or end of a request; the parser may hold them
+        self.has_parsed = False  # whether the slice that is being parsed held such a part or end
+        self.counted_head_bytes = 0  # memory of an incomplete head or trailer, as the server counts it
         self.reset_request()
 
     def reset_request(self) -> None:
@@ -105,6 +110,7 @@
         self.is_discarding = self.has_sent_eof = True
         self.is_receiving = False
         self.release_body()
+        self.release_head()
         self.exchanges[-1].keep_alive = False
         return True
 
@@ -114,6 +120,7 @@
         self.move_to_queue(None)
         self.server.clients.discard(self)
         self.release_body()
+        self.server.count_head(self, 0)
         unanswered, self.exchanges = self.exchanges, deque()
         for exchange in unanswered:
             if exchange.request is not None:
@@ -124,6 +131,11 @@
         self.server.held_bytes -= self.held_bytes
         self.held_bytes, self.body = 0, []
 
+    def release_head(self) -> None:
+        """Drop the head that is being received, with what the parser holds, and stop counting it."""
+        self.headers, self.parser = [], httptools.HttpRequestParser(self)
+        self.server.count_head(self, 0)
+
     # --- reading -----------------------------------------------------------------------------------
 
     def data_received(self, data: bytes) -> None:
@@ -136,17 +148,41 @@
             self.reject(BadRequest("no request"))
 
     def feed_parser(self, data: bytes) -> None:
-        """Parse bytes of requests; one that offers an upgrade is answered without it (RFC 9110, 7.8)."""
+        """Parse bytes of requests in slices; between two, limit and count what the parser may hold."""
+        if len(data) <= SLICE_BYTES:
+            self.parse_slice(data)
+        else:
+            view = memoryview(data)
+            for start in range(0, len(data), SLICE_BYTES):
+                if self.is_discarding:
+                    break
+                self.parse_slice(view[start : start + SLICE_BYTES])
+        if self.is_receiving or self.counted_head_bytes:
+            self.server.count_head(self, self.head_memory_bytes())
+
+    def parse_slice(self, data: bytes | memoryview) -> None:
+        """Parse a slice; a request that offers an upgrade is answered without it (RFC 9110, 7.8)."""
+        self.has_parsed = False
+        size = len(data)
         while data and not self.is_discarding:
             try:
                 self.parser.feed_data(data)
-                return
+                break
             except httptools.HttpParserUpgrade as upgrade:
                 self.parser = httptools.HttpRequestParser(self)
                 data = data[upgrade.args[0] :]
             except httptools.HttpParserError as error:
                 cause = error.__context__
                 self.reject(cause if isinstance(cause, BadRequest) else BadRequest("malformed request"))
+        self.unparsed_bytes = 0 if self.has_parsed else self.unparsed_bytes + size
+        if self.is_receiving and self.unparsed_bytes > self.server.max_head_bytes + SLICE_BYTES:
+            self.reject(BadRequest("header too large", self.server.frontend.header_too_large_status))
+
+    def head_memory_bytes(self) -> int:
+        """The memory of the head or trailer that is being received; 0 between two requests."""
+        if not self.is_receiving:
+            return 0
+        return self.unparsed_bytes + self.head_bytes + HEADER_MEMORY_BYTES * len(self.headers)
 
     def limit_discarding(self) -> None:
         """Pause reading after `MAX_DISCARD_BYTES`.
@@ -163,6 +199,7 @@
         if self.is_discarding:
             raise BadRequest("nothing more is read here")
         self.reset_request()
+        self.has_parsed = True
         self.request_started_at, self.is_receiving = time.monotonic(), True
         if self.queue is self.server.idle_clients:
             self.move_to_queue(self.server.receiving_clients)
@@ -201,6 +238,7 @@
                 self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
+        self.has_parsed = True
         self.held_bytes += len(body)
         self.server.held_bytes += len(body)
         if self.held_bytes > self.server.frontend.max_body_bytes:
@@ -210,7 +248,7 @@
         self.body.append(body)
 
     def on_message_complete(self) -> None:
-        self.is_receiving, self.stray_bytes = False, 0
+        self.is_receiving, self.has_parsed, self.stray_bytes = False, True, 0
         if len(self.exchanges) >= MAX_PIPELINED:
             # One read may hold hundreds of requests, and each answer of up to 64 KiB waits for its turn.
             raise BadRequest("too many requests at once", 503)
@@ -333,6 +371,7 @@
         if not self.is_discarding:
             self.is_discarding, self.is_receiving = True, False
             self.release_body()
+            self.release_head()
             if self.exchanges:
                 self.move_to_queue(None)  # the requests before this answer have their own deadlines
             exchange = Exchange(self, keep_alive=False)
@@ -345,6 +384,10 @@
         Unread bytes would make the kernel send a reset, which could overtake the last answer.
         """
         self.is_discarding = True
+        if self.is_receiving:
+            self.is_receiving = False
+            self.release_body()
+            self.release_head()
         if self.transport is not None:
             self.transport.close() if self.has_sent_eof else self.transport.write_eof()
             self.move_to_queue(self.server.closing_clients)
--- a/ivymux/data_plane/limits.py
+++ b/ivymux/data_plane/limits.py
@@ -9,6 +9,7 @@
 # each of the two clients needs twice as many while its address changes.
 RESERVED_DESCRIPTORS = 29
 BODY_MEMORY_SHARE = 1 / 8  # of the process's memory, for request bodies
+HEAD_MEMORY_SHARE = 1 / 16  # of the process's memory, for heads and trailers that are being received
 ANSWER_MEMORY_SHARE = 1 / 4  # of the process's memory, for answers that clients have not read yet
 
 
@@ -31,6 +32,7 @@
     max_backend_connections: int
     max_held_bytes: int  # of request bodies
     max_held_answer_bytes: int = 1 << 62  # of answers that clients have not read yet
+    max_total_head_bytes: int = 1 << 20  # of heads and trailers that are being received
 
     @classmethod
     def from_limits(cls, sockets: int, memory_mb: float) -> Bounds:
@@ -41,6 +43,7 @@
         return cls(
             left // 2, surplus, left - left // 2,
             int(memory_bytes * BODY_MEMORY_SHARE), int(memory_bytes * ANSWER_MEMORY_SHARE),
+            int(memory_bytes * HEAD_MEMORY_SHARE),
         )  # fmt: skip
 
 
--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -54,7 +54,9 @@
         self.closing_clients: OrderedDict[ClientConnection, None] = OrderedDict()  # after the last answer
         self.slow_readers: dict[ClientConnection, ReadProgress] = {}  # whose write buffers are full
         self.open_keys: set[bytes] = set()  # of requests that are not finished
-        self.held_bytes = 0
+        self.held_bytes = 0  # of request bodies
+        self.head_bytes = 0  # memory of the heads and trailers that are being received
+        self.max_total_head_bytes = bounds.max_total_head_bytes
         self.is_stopping = False
         self.closes_after_answer = False  # no keep-alive; new connections are still accepted
         self.max_head_bytes = MAX_HEAD_BYTES
@@ -74,6 +76,16 @@
             self.refusal_log.record(GATEWAY)
         return self.frontend.refusal(error)
 
+    def count_head(self, client: ClientConnection, size: int) -> None:
+        """Count the memory of a connection's incomplete head; refuse the largest ones beyond the limit."""
+        self.head_bytes += size - client.counted_head_bytes
+        client.counted_head_bytes = size
+        while self.head_bytes > self.max_total_head_bytes:
+            largest = max(self.clients, key=lambda other: other.counted_head_bytes, default=client)
+            if not largest.counted_head_bytes:
+                return
+            largest.reject(BadRequest("too much is held", 503))  # nothing has been executed
+
     def listen_without_accepting(self) -> None:
         """Listen, but leave connections and their bytes in the kernel's queue.  Raises OSError.
 
