Bodies: short chunks take the memory of their bytes, not 45 bytes each

Cause: each piece that the parser reports was kept as an object of its own and counted at its length, so that 2 bytes took some 45 and counted as 2. A whole body was then joined, which took its memory once more.

A request's blocks are sent to its backend as they are: nothing joins a long body.

--- a/ivymux/data_plane/attempt.py
+++ b/ivymux/data_plane/attempt.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from ivymux.data_plane.body_buffer import Blocks, total_length
 from ivymux.data_plane.frontend import Answer
 from orchidhill.interface import Outcome
 
@@ -56,7 +57,7 @@
         on_done: Callable[[Result], None],
         is_head: bool = False,
         request_id: bytes = b"",
-        body: bytes = b"",
+        body: Blocks = (),
     ) -> None:
         """`body`: sent behind the payload."""
         self.payload, self.body = payload, body
@@ -75,17 +76,17 @@
 
     def write_to(self, transport: asyncio.Transport) -> None:
         """Write its bytes, and drop them; a long body is not copied."""
-        if len(self.body) < MIN_SEPARATE_BODY_BYTES:
-            transport.write(self.payload + self.body)
+        if total_length(self.body) < MIN_SEPARATE_BODY_BYTES:
+            transport.write(b"".join((self.payload, *self.body)))
         else:
-            transport.writelines((self.payload, self.body))
-        self.payload = self.body = b""
+            transport.writelines((self.payload, *self.body))
+        self.payload, self.body = b"", ()
 
     def finish(self, result: Result) -> None:
         """End the attempt with a result; later calls have no effect."""
         if not self.is_finished:
             self.is_finished = True
-            self.payload = self.body = b""
+            self.payload, self.body = b"", ()
             if self.timer is not None:
                 self.timer.cancel()
             self.on_done(result)
--- a/ivymux/data_plane/backend_connection.py
+++ b/ivymux/data_plane/backend_connection.py
@@ -13,6 +13,7 @@
 
 from ivymux.data_plane.answer_policy import has_no_body
 from ivymux.data_plane.attempt import Attempt, Result
+from ivymux.data_plane.body_buffer import BodyBuffer
 from orchidhill.interface import Outcome
 
 if TYPE_CHECKING:
@@ -67,7 +68,7 @@
         # Whether the answer ended with its header section; the parser then still waits for a body.
         self.is_bodiless = False
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []
+        self.body = BodyBuffer()
         self.body_bytes = 0
         self.content_length = 0
         self.not_started = False  # whether the backend says that it did not execute the request
@@ -259,8 +260,7 @@
         self.body_bytes += len(body)
         if self.body_bytes > self.policy.max_body_bytes:
             raise InvalidAnswer(f"its body is longer than {self.policy.max_body_bytes} bytes")
-        self.pool.upstream.answer_flow.add(self, len(body))
-        self.body.append(body)
+        self.pool.upstream.answer_flow.add(self, self.body.append(body))
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
@@ -290,7 +290,7 @@
             self.policy.outcome(status, self.not_started),
             time.perf_counter() - self.attempt.started_at,
             self.pool.upstream.parse_report(self.load_report),
-            b"".join(self.body),
+            b"".join(self.body.blocks),
             self.content_type,
         )
         if self.policy.passes_all_statuses and self.policy.may_pass_on(status):
--- a/ivymux/data_plane/client_connection.py
+++ b/ivymux/data_plane/client_connection.py
@@ -10,6 +10,7 @@
 
 import httptools
 
+from ivymux.data_plane.body_buffer import BodyBuffer
 from ivymux.data_plane.frontend import CLOSE_CONNECTION, Answer, BadRequest, Call
 from ivymux.data_plane.slow_readers import ReadProgress
 
@@ -84,7 +85,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.has_headers = False
         self.head_bytes = 0
-        self.body: list[bytes] = []
+        self.body = BodyBuffer()
 
     def move_to_queue(self, queue: OrderedDict[ClientConnection, None] | None) -> None:
         """Leave the current queue and append the connection to another one, if any."""
@@ -129,7 +130,7 @@
     def release_body(self) -> None:
         """Drop the body that is being received, and stop counting its bytes."""
         self.server.held_bytes -= self.held_bytes
-        self.held_bytes, self.body = 0, []
+        self.held_bytes, self.body = 0, BodyBuffer()
 
     def release_head(self) -> None:
         """Drop the head that is being received, with what the parser holds, and stop counting it."""
@@ -239,13 +240,16 @@
 
     def on_body(self, body: bytes) -> None:
         self.has_parsed = True
-        self.held_bytes += len(body)
-        self.server.held_bytes += len(body)
-        if self.held_bytes > self.server.frontend.max_body_bytes:
+        self.count_body(self.body.append(body))
+        if self.body.length > self.server.frontend.max_body_bytes:
             raise BadRequest("body too large", 413)
+
+    def count_body(self, size: int) -> None:
+        """Count memory that the body takes more than before.  Raises BadRequest beyond the limit."""
+        self.held_bytes += size
+        self.server.held_bytes += size
         if self.server.held_bytes > self.server.max_held_bytes:
             raise BadRequest("too much is held", 503)  # nothing has been executed
-        self.body.append(body)
 
     def on_message_complete(self) -> None:
         self.is_receiving, self.has_parsed, self.stray_bytes = False, True, 0
@@ -280,7 +284,7 @@
             self.parser.get_method(),
             self.url,
             self.headers,
-            self.body,
+            self.body.blocks,
             self.request_started_at,
             self.peer_address,
         )
--- a/ivymux/data_plane/frontend.py
+++ b/ivymux/data_plane/frontend.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ivymux.data_plane.body_buffer import Blocks
 from ivymux.data_plane.client_departures import OnDeparture
 from orchidhill import interface as i
 
@@ -65,7 +66,7 @@
     hold_s: float = 0.0  # delay before it is passed to the decision module (fault injection)
     drops_answer: bool = False  # whether the client gets no answer from a backend (fault injection)
     on_departure: OnDeparture = OnDeparture.RUN_ON
-    body: bytes = b""  # sent behind the payload; a long one is never copied into it
+    body: Blocks = ()  # sent behind the payload; a long one is never copied into it
 
     def release(self) -> None:
         """Drop what was only needed to send the request, such as its body; called once it is finished.
@@ -73,7 +74,7 @@
         A request, its exchange and its call refer to each other, so all of them stay in memory until the
         garbage collector runs.
         """
-        self.body = b""
+        self.body = ()
         self.make_payload, self.make_payload_for = _released_payload, None
         self.claim = self.on_finished = None
 
@@ -99,7 +100,7 @@
         method: bytes,
         target: bytes,
         headers: Headers,
-        body: list[bytes],
+        body: Blocks,
         received_at: float,
         peer_address: str,
     ) -> Call | Answer:
--- a/ivymux/data_plane/upstream.py
+++ b/ivymux/data_plane/upstream.py
@@ -12,6 +12,7 @@
 from ivymux.data_plane.answer_policy import PLATFORM_POLICY, AnswerPolicy
 from ivymux.data_plane.attempt import Attempt, Result
 from ivymux.data_plane.backend_connection import BackendConnection
+from ivymux.data_plane.body_buffer import Blocks
 from ivymux.data_plane.limits import Address
 from orchidhill.interface import Outcome
 
@@ -174,7 +175,7 @@
         on_done: Callable[[Result], None],
         is_head: bool = False,
         request_id: bytes = b"",
-        body: bytes = b"",
+        body: Blocks = (),
     ) -> Attempt:
         """Start an attempt; `timeout` is in seconds.
 
--- a/ivymux/hosting/server.py
+++ b/ivymux/hosting/server.py
@@ -6,6 +6,7 @@
 import time
 from collections.abc import Callable
 
+from ivymux.data_plane.body_buffer import Blocks, BodyBuffer
 from ivymux.data_plane.client_connection import ClientConnection, Exchange
 from ivymux.data_plane.frontend import Answer, BadRequest, Call, Headers
 from ivymux.data_plane.limits import Address, Bounds
@@ -46,7 +47,7 @@
         method: bytes,
         target: bytes,
         headers: Headers,
-        body: list[bytes],
+        body: Blocks,
         received_at: float,
         peer_address: str,
     ) -> Call | Answer:
@@ -171,14 +172,11 @@
             self.counted_tenant.share.connections -= 1
             self.counted_tenant = None
 
-    def on_body(self, body: bytes) -> None:
-        """Count a received part of the body towards the tenant's limit on buffered bytes.
-
-        Raises BadRequest beyond that limit.
-        """
-        super().on_body(body)
+    def count_body(self, size: int) -> None:
+        """Count memory of the body towards the tenant's limit too.  Raises BadRequest beyond a limit."""
+        super().count_body(size)
         if (share := self.body_share) is not None:
-            share.held_bytes += len(body)
+            share.held_bytes += size
             if share.held_bytes > share.max_held_bytes:
                 raise BadRequest("too much is held of this tenant", 429)
 
@@ -189,7 +187,7 @@
                 self.body_share.held_bytes -= self.held_bytes
             self.server.held_bytes -= self.held_bytes
             self.held_bytes = 0
-        self.body = []
+        self.body = BodyBuffer()
 
     def handle_request(self, exchange: Exchange) -> None:
         """Admit a complete request to its tenant's current generation, or refuse it."""
@@ -215,8 +213,8 @@
             return
         try:
             call = frontend.accept_from(
-                caller, self.parser.get_method(), self.url, self.headers, self.body, self.request_started_at,
-                self.peer_address,
+                caller, self.parser.get_method(), self.url, self.headers, self.body.blocks,
+                self.request_started_at, self.peer_address,
             )  # fmt: skip
         except BaseException:
             server.shares.release(share)
--- a/ivymux/platform/frontend.py
+++ b/ivymux/platform/frontend.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 
+from ivymux.data_plane.body_buffer import Blocks
 from ivymux.data_plane.frontend import Answer, BadRequest, Call, Headers
 from ivymux.platform.protocol_settings import TermsReader
 from orchidhill import interface as i
@@ -40,7 +41,7 @@
         method: bytes,
         target: bytes,
         headers: Headers,
-        body: list[bytes],
+        body: Blocks,
         received_at: float,
         peer_address: str,
     ) -> Call | Answer:
@@ -62,7 +63,7 @@
                 terms.spread, terms.first, terms.is_retry, method == b"POST",
             )  # fmt: skip
 
-        return Call(terms.request_id, deadline, make_event, make_payload, body=content)
+        return Call(terms.request_id, deadline, make_event, make_payload, body=(content,))
 
     def refusal(self, error: BadRequest) -> Answer:
         return Answer(error.status, f"{error}\n".encode(), retry_after=1.0 if error.status == 503 else 0.0)
--- a/ivymux/proxy/frontend.py
+++ b/ivymux/proxy/frontend.py
@@ -8,6 +8,7 @@
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
+from ivymux.data_plane.body_buffer import Blocks, total_length
 from ivymux.data_plane.client_departures import OnDeparture
 from ivymux.data_plane.frontend import CLOSE_CONNECTION, Answer, BadRequest, Call, Headers
 from ivymux.proxy.name_tables import NameTables
@@ -81,7 +82,7 @@
         method: bytes,
         target: bytes,
         headers: Headers,
-        body: list[bytes],
+        body: Blocks,
         received_at: float,
         peer_address: str,
     ) -> Call | Answer:
@@ -128,11 +129,11 @@
         deadline = received_at + timeout_s
         # Retries of a request get the same draw and so, on a split route, the same service.
         draw = int.from_bytes(blake2b(try_id or target, digest_size=8).digest(), "big") / 2**64
-        content = b"".join(body)
+        body_bytes = total_length(body)
         claim, home, keyed_service = None, 0, ""
         if has_key and tenant and not route.is_idempotent and self.load_keyed_requests is not None:
             keyed = self.load_keyed_requests().prepare(
-                route, headers, tenant, authorization, method, host, target, content, deadline, try_id
+                route, headers, tenant, authorization, method, host, target, body, deadline, try_id
             )
             claim, keyed_service = keyed.claim, keyed.service
             home = self.backend_number(keyed.home_backend)
@@ -154,8 +155,8 @@
             for pair in headers
             if pair[0] not in dropped and pair[0] not in PROXY_HEADERS
         )
-        if content or method in (b"POST", b"PUT", b"PATCH"):
-            head += b"Content-Length: %d\r\n" % len(content)
+        if body_bytes or method in (b"POST", b"PUT", b"PATCH"):
+            head += b"Content-Length: %d\r\n" % body_bytes
         if tenant:
             head += b"Tenant-Name: %s\r\n" % tenant.encode()
         instance_id = self.instance_id
@@ -179,7 +180,7 @@
         return Call(
             b"", deadline, make_event, _no_payload, method == b"HEAD", try_id,
             make_payload_for=make_payload_for, claim=claim, hold_s=hold_s, drops_answer=drops_answer,
-            on_departure=OnDeparture.for_request(route.is_idempotent), body=content,
+            on_departure=OnDeparture.for_request(route.is_idempotent), body=body,
         )  # fmt: skip
 
     def shard_holder(self, service: str, key: bytes) -> int:
--- a/ivymux/proxy/keyed_actions.py
+++ b/ivymux/proxy/keyed_actions.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from ivymux.data_plane.body_buffer import Blocks, total_length
 from ivymux.data_plane.frontend import Answer, BadRequest, Headers
 from ivymux.idempotency.record_store import ANSWERED, IN_PROGRESS, KEY_DIGITS, LIMIT_REACHED, MISMATCH
 
@@ -37,7 +38,10 @@
     conversation: str
 
 
-def digest(*parts: bytes, size: int = 8) -> str:
+DIGEST_BYTES = 8
+
+
+def digest(*parts: bytes, size: int = DIGEST_BYTES) -> str:
     """Digest parts unambiguously: each is preceded by its length."""
     hasher = blake2b(digest_size=size)
     for part in parts:
@@ -46,6 +50,14 @@
     return hasher.hexdigest()
 
 
+def digest_body(blocks: Blocks) -> str:
+    """Digest a body as `digest` does a single part."""
+    hasher = blake2b(b"%d:" % total_length(blocks), digest_size=DIGEST_BYTES)
+    for block in blocks:
+        hasher.update(block)
+    return hasher.hexdigest()
+
+
 def parse_key(headers: Headers) -> bytes:
     """Return the caller's key.  Raises BadRequest."""
     values = [value for field, value in headers if field == HEADER]
@@ -57,7 +69,7 @@
 
 def make_action(
     headers: Headers, tenant: str, authorization: bytes, conversation_header: bytes, method: bytes,
-    host: bytes, target: bytes, body: bytes,
+    host: bytes, target: bytes, body: Blocks,
 ) -> Action:  # fmt: skip
     """Make the action of a request.
 
@@ -71,7 +83,7 @@
         key=digest(tenant.encode(), parse_key(headers), size=KEY_DIGITS // 2),
         tenant=tenant,
         request_digest=digest(method, host, target),
-        body_digest=digest(body),
+        body_digest=digest_body(body),
         conversation=digest(b"named", name) if name else digest(b"caller", authorization),
     )
 
--- a/ivymux/proxy/keyed_requests.py
+++ b/ivymux/proxy/keyed_requests.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
+from ivymux.data_plane.body_buffer import Blocks
 from ivymux.data_plane.frontend import Headers
 from ivymux.idempotency.affinity import BUCKET_COUNT, HomeBackends, bucket_of
 from ivymux.idempotency.settings import ConversationSettingsError, read
@@ -43,7 +44,7 @@
 
     def prepare(
         self, route: Route, headers: Headers, tenant: str, authorization: bytes, method: bytes, host: bytes,
-        target: bytes, body: bytes, deadline: float, try_id: bytes,
+        target: bytes, body: Blocks, deadline: float, try_id: bytes,
     ) -> KeyedRequest:  # fmt: skip
         """Prepare a request's claim.  Raises BadRequest if its key is malformed."""
         header = self.claims.settings.header
--- a/ivymux/proxy/status_pages.py
+++ b/ivymux/proxy/status_pages.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Mapping
 
+from ivymux.data_plane.body_buffer import Blocks
 from ivymux.data_plane.frontend import Answer, BadRequest, Call, Headers
 from ivymux.proxy.frontend import REASONS
 
@@ -34,7 +35,7 @@
         method: bytes,
         target: bytes,
         headers: Headers,
-        body: list[bytes],
+        body: Blocks,
         received_at: float,
         peer_address: str,
     ) -> Call | Answer:
--- a/ivymux/service/frontend.py
+++ b/ivymux/service/frontend.py
@@ -10,6 +10,7 @@
 from typing import Protocol
 from urllib.parse import unquote_plus
 
+from ivymux.data_plane.body_buffer import Blocks
 from ivymux.data_plane.client_departures import OnDeparture
 from ivymux.data_plane.frontend import Answer, BadRequest, Call, Headers
 from ivymux.routes import override
@@ -98,14 +99,14 @@
         method: bytes,
         target: bytes,
         headers: Headers,
-        body: list[bytes],
+        body: Blocks,
         received_at: float,
         peer_address: str,
     ) -> Call | Answer:
         return self.accept_from(None, method, target, headers, body, received_at, peer_address)
 
     def accept_from(
-        self, caller: Caller | None, method: bytes, target: bytes, headers: Headers, body: list[bytes],
+        self, caller: Caller | None, method: bytes, target: bytes, headers: Headers, body: Blocks,
         received_at: float, peer_address: str,
     ) -> Call | Answer:  # fmt: skip
         """Accept a request as `accept` does; `caller` is None if the API key has not been checked yet."""
@@ -160,7 +161,7 @@
         return Call(
             b"", deadline, make_event, make_payload, method == b"HEAD", request_id,
             partial(classes.release, class_number),
-            on_departure=OnDeparture.for_request(decision.effect is Effect.SAFE), body=content,
+            on_departure=OnDeparture.for_request(decision.effect is Effect.SAFE), body=(content,),
         )  # fmt: skip
 
     def read_host(self, headers: Headers) -> bytes:
--- a/ivymux/transport/http_calls.py
+++ b/ivymux/transport/http_calls.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any, cast
 
+from ivymux.data_plane.body_buffer import Blocks
 from ivymux.data_plane.frontend import Answer, BadRequest, Call, Headers
 from ivymux.data_plane.refusal_log import RefusalLog
 
@@ -94,7 +95,7 @@
         method: bytes,
         target: bytes,
         headers: Headers,
-        body: list[bytes],
+        body: Blocks,
         received_at: float,
         peer_address: str,
     ) -> Call | Answer:
--- a/tests/proxy/test_keyed_actions.py
+++ b/tests/proxy/test_keyed_actions.py
@@ -39,7 +39,7 @@
     tenant: str = "t", key: bytes = b"k", body: bytes = b"b", target: bytes = b"/x", **more: Any
 ) -> Any:
     headers = [(HEADER, key), *more.get("headers", [])]
-    return make_action(headers, tenant, b"Bearer 1", b"x-matter", b"POST", b"h", target, body)
+    return make_action(headers, tenant, b"Bearer 1", b"x-matter", b"POST", b"h", target, (body,))
 
 
 def test_keys_are_scoped_to_a_tenant_and_digested_parts_do_not_run_together() -> None:
