--- a/ivymux/data_plane/client_connection.py
+++ b/ivymux/data_plane/client_connection.py
@@ -248,8 +248,7 @@
         """Count memory that the body takes more than before.  Raises BadRequest beyond the limit."""
         self.held_bytes += size
         self.server.held_bytes += size
-        if self.server.held_bytes > self.server.max_held_bytes:
-            raise BadRequest("too much is held", 503)  # nothing has been executed
+        self.server.limit_bodies(self)
 
     def on_message_complete(self) -> None:
         self.is_receiving, self.has_parsed, self.stray_bytes = False, True, 0
--- a/ivymux/data_plane/limits.py
+++ b/ivymux/data_plane/limits.py
@@ -9,6 +9,8 @@
 # each of the two clients needs twice as many while its address changes.
 RESERVED_DESCRIPTORS = 29
 BODY_MEMORY_SHARE = 1 / 8  # of the process's memory, for request bodies
+LONGEST_BODY_MEMORY_SHARE = 0.4  # at the most, for the longest body that clients may send
+BODY_MEMORY_PER_BYTE = 9 / 8  # of a body in short pieces, whose blocks grow by an eighth ahead
 HEAD_MEMORY_SHARE = 1 / 16  # of the process's memory, for heads and trailers that are being received
 ANSWER_MEMORY_SHARE = 1 / 4  # of the process's memory, for answers that clients have not read yet
 
@@ -23,6 +25,16 @@
     port: int
 
 
+def held_body_bytes(memory_mb: float, max_body_bytes: int) -> int:
+    """Return how much memory request bodies may take: their usual share, and room for the longest one.
+
+    Where the process has too little memory for that, the longest body is refused.
+    """
+    memory_bytes = memory_mb * (1 << 20)
+    longest = min(LONGEST_BODY_MEMORY_SHARE * memory_bytes, BODY_MEMORY_PER_BYTE * max_body_bytes)
+    return int(max(BODY_MEMORY_SHARE * memory_bytes, longest))
+
+
 @dataclass(slots=True, frozen=True)
 class Bounds:
     """Limits on the connections and buffers of one process."""
--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -86,6 +86,18 @@
                 return
             largest.reject(BadRequest("too much is held", 503))  # nothing has been executed
 
+    def limit_bodies(self, client: ClientConnection) -> None:
+        """Refuse the incomplete requests with the longest bodies while all take more than the limit.
+
+        Raises BadRequest if that of `client`, which has just grown, is one of them.
+        """
+        too_much = BadRequest("too much is held", 503)  # nothing has been executed
+        while self.held_bytes > self.max_held_bytes:
+            longest = max(self.clients, key=lambda other: other.held_bytes, default=client)
+            if longest.held_bytes <= client.held_bytes:
+                raise too_much
+            longest.reject(too_much)
+
     def listen_without_accepting(self) -> None:
         """Listen, but leave connections and their bytes in the kernel's queue.  Raises OSError.
 
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, cast
 
 from ivymux.data_plane.frontend import Answer
-from ivymux.data_plane.limits import Address, Bounds, parse_address
+from ivymux.data_plane.limits import Address, Bounds, held_body_bytes, parse_address
 from ivymux.data_plane.server import Server
 from ivymux.data_plane.upstream import Upstream
 from ivymux.fault_injection import TRIALS
@@ -352,6 +352,9 @@
         self.frontend.update_plan(plan)
         if self.trial_client is not None:
             self.trial_client.update_keys(plan.tenant_by_key)
+        self.server.max_held_bytes = held_body_bytes(
+            self.settings.memory_mb, plan.client_limits.max_body_bytes
+        )
         self.server.max_head_bytes = plan.client_limits.max_header_bytes
         self.server.read_timeout = plan.client_limits.header_timeout_s
         self.server.idle_timeout = plan.client_limits.idle_timeout_s
