Client ports: connections that send much take turns with all others

Callers saw: 20 connections that send short chunks, or complete requests without a pause, kept a proxy so busy that ordinary callers got 0 to 3 of 5 answers before 320 MB had been sent; requests without a pause also took 522 MB.

Cause: all that had arrived on a connection, up to 32 reads of 256 kB in one iteration of the event loop, was parsed before any other connection was looked at; and a refused client's bytes were read and dropped at a rate that grew with the number of such clients.

The buffers that wait are counted with the heads, which have 1/8 of the memory together now. The pause between two reads of a refused client grows with their number. A closed connection no longer keeps its parser, so that it leaves memory without the garbage collector.

--- a/ivymux/data_plane/client_connection.py
+++ b/ivymux/data_plane/client_connection.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from collections import OrderedDict, deque
+from enum import Enum, auto
 from typing import TYPE_CHECKING, cast
 
 import httptools
@@ -21,6 +22,11 @@
 MAX_STRAY_BYTES = 1024  # received outside of requests, such as empty lines
 MAX_PIPELINED = 4  # unanswered requests on one connection
 SLICE_BYTES = 4 << 10  # parsed at a time, so that a parser holds no more than this before it is counted
+# Of one connection within DIRECT_WINDOW_S that are parsed as they arrive; the rest waits for turns.
+MAX_DIRECT_BYTES = 64 << 10
+MAX_DIRECT_BYTES_BESIDE_OTHERS = 8 << 10  # while other connections wait for turns
+DIRECT_WINDOW_S = 0.05
+REQUEST_COST_BYTES = 512  # as which a complete request counts towards these
 HEADER_MEMORY_BYTES = 160  # of a header that was parsed, beside its name and value
 MAX_DISCARD_BYTES = 1 << 20  # read from a refused client before reading pauses
 DISCARD_PAUSE_S = 0.01
@@ -28,6 +34,14 @@
 log = logging.getLogger(__name__)
 
 
+class Pause(Enum):
+    """Why nothing is read from a client."""
+
+    WRITING = auto()  # it does not read its answers
+    TURN = auto()  # what it sent before waits to be parsed
+    DISCARDING = auto()  # it was refused, and sends on
+
+
 class Exchange:
     """One request on a client connection and its answer, which is written after all earlier answers."""
 
@@ -78,8 +92,18 @@
         self.unparsed_bytes = 0  # since the last part of a body or end of a request; the parser may hold them
         self.has_parsed = False  # whether the slice that is being parsed held such a part or end
         self.counted_head_bytes = 0  # memory of an incomplete head or trailer, as the server counts it
+        self.waiting = memoryview(b"")  # received, and not parsed yet
+        self.waiting_memory_bytes = 0  # of the buffer that holds them
+        self.has_turn = False  # whether the connection is in the queue for turns
+        self.window_start, self.window_bytes = 0.0, 0  # of DIRECT_WINDOW_S, and what it has parsed in it
+        self.pauses: set[Pause] = set()  # reasons for which nothing is read
         self.reset_request()
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether part of a request has arrived."""
+        return self.is_receiving or bool(self.waiting)
+
     def reset_request(self) -> None:
         self.url = b""
         self.headers: list[tuple[bytes, bytes]] = []
@@ -121,7 +145,9 @@
         self.move_to_queue(None)
         self.server.clients.discard(self)
         self.release_body()
+        self.drop_waiting()
         self.server.count_head(self, 0)
+        del self.parser  # the parser and this connection refer to each other
         unanswered, self.exchanges = self.exchanges, deque()
         for exchange in unanswered:
             if exchange.request is not None:
@@ -133,7 +159,9 @@
         self.held_bytes, self.body = 0, BodyBuffer()
 
     def release_head(self) -> None:
-        """Drop the head that is being received, with what the parser holds, and stop counting it."""
+        """Drop the head that is being received, with what the parser holds, and what waits for a turn."""
+        self.waiting, self.waiting_memory_bytes = memoryview(b""), 0
+        self.resume_reading(Pause.TURN)
         self.headers, self.parser = [], httptools.HttpRequestParser(self)
         self.server.count_head(self, 0)
 
@@ -144,11 +172,60 @@
         if self.is_discarding:
             self.limit_discarding()
             return
-        self.feed_parser(data)
-        if self.stray_bytes > MAX_STRAY_BYTES and not self.is_receiving:
+        if self.waiting or not self.is_parsed_at_once(len(data)):
+            self.wait_for_turn(data)
+        else:
+            self.feed_parser(data)
+            self.limit_stray_bytes()
+
+    def limit_stray_bytes(self) -> None:
+        if self.stray_bytes > MAX_STRAY_BYTES and not self.is_receiving and not self.waiting:
             self.reject(BadRequest("no request"))
 
-    def feed_parser(self, data: bytes) -> None:
+    def is_parsed_at_once(self, size: int) -> bool:
+        """Whether bytes that have arrived need not wait for a turn; counts them."""
+        now = self.server.loop.time()
+        if now - self.window_start > DIRECT_WINDOW_S:
+            self.window_start, self.window_bytes = now, 0
+        self.window_bytes += size
+        others_wait = self.server.receive_queue.waiting
+        return self.window_bytes <= (MAX_DIRECT_BYTES_BESIDE_OTHERS if others_wait else MAX_DIRECT_BYTES)
+
+    def wait_for_turn(self, data: bytes) -> None:
+        """Keep bytes until their turn, and read no more until then."""
+        self.waiting = memoryview(bytes(self.waiting) + data if self.waiting else data)
+        self.waiting_memory_bytes = len(self.waiting)
+        self.pause_reading(Pause.TURN)
+        self.take_turns()
+        self.server.count_head(self, self.head_memory_bytes())
+
+    def take_turns(self) -> None:
+        """Queue for turns if there are bytes to parse."""
+        if self.waiting and not self.has_turn:
+            self.has_turn = True
+            self.server.receive_queue.add(self)
+
+    def parse_next(self) -> bool:
+        """Parse the next slice of the bytes that wait; return whether to go on with the next turn."""
+        if self.transport is None or self.is_discarding:
+            self.drop_waiting()
+        elif Pause.WRITING not in self.pauses:
+            piece, self.waiting = self.waiting[:SLICE_BYTES], self.waiting[SLICE_BYTES:]
+            self.feed_parser(piece)
+            self.limit_stray_bytes()
+            if not self.waiting:
+                self.drop_waiting()
+        self.has_turn = bool(self.waiting) and Pause.WRITING not in self.pauses
+        return self.has_turn
+
+    def drop_waiting(self) -> None:
+        """Forget bytes that wait, or that were all parsed; read again."""
+        self.waiting, self.waiting_memory_bytes = memoryview(b""), 0
+        if self.transport is not None:
+            self.server.count_head(self, self.head_memory_bytes())
+        self.resume_reading(Pause.TURN)
+
+    def feed_parser(self, data: bytes | memoryview) -> None:
         """Parse bytes of requests in slices; between two, limit and count what the parser may hold."""
         if len(data) <= SLICE_BYTES:
             self.parse_slice(data)
@@ -180,10 +257,15 @@
             self.reject(BadRequest("header too large", self.server.frontend.header_too_large_status))
 
     def head_memory_bytes(self) -> int:
-        """The memory of the head or trailer that is being received; 0 between two requests."""
+        """The memory of the head or trailer that is being received, and of bytes that wait for a turn."""
         if not self.is_receiving:
-            return 0
-        return self.unparsed_bytes + self.head_bytes + HEADER_MEMORY_BYTES * len(self.headers)
+            return self.waiting_memory_bytes
+        return (
+            self.waiting_memory_bytes
+            + self.unparsed_bytes
+            + self.head_bytes
+            + HEADER_MEMORY_BYTES * len(self.headers)
+        )
 
     def limit_discarding(self) -> None:
         """Pause reading after `MAX_DISCARD_BYTES`.
@@ -193,8 +275,10 @@
         """
         if self.stray_bytes > MAX_DISCARD_BYTES and self.transport is not None:
             self.stray_bytes = 0
-            self.transport.pause_reading()
-            self.server.loop.call_later(DISCARD_PAUSE_S, self.resume_reading)
+            self.pause_reading(Pause.DISCARDING)
+            # In proportion to their number, so that all of them together take the same share of the time.
+            pause_s = DISCARD_PAUSE_S * max(1, len(self.server.closing_clients))
+            self.server.loop.call_later(pause_s, self.resume_reading, Pause.DISCARDING)
 
     def on_message_begin(self) -> None:
         if self.is_discarding:
@@ -252,6 +336,7 @@
 
     def on_message_complete(self) -> None:
         self.is_receiving, self.has_parsed, self.stray_bytes = False, True, 0
+        self.window_bytes += REQUEST_COST_BYTES
         if len(self.exchanges) >= MAX_PIPELINED:
             # One read may hold hundreds of requests, and each answer of up to 64 KiB waits for its turn.
             raise BadRequest("too many requests at once", 503)
@@ -348,8 +433,7 @@
 
     def pause_writing(self) -> None:
         """Read no further requests from a client that does not read its answers, to bound the buffer."""
-        if self.transport is not None:
-            self.transport.pause_reading()
+        self.pause_reading(Pause.WRITING)
         self.watch_reading()
         self.server.limit_slow_readers()
 
@@ -362,11 +446,22 @@
 
     def resume_writing(self) -> None:
         self.server.slow_readers.pop(self, None)
-        self.resume_reading()
+        self.resume_reading(Pause.WRITING)
+        self.take_turns()
         self.server.on_answers_read()
 
-    def resume_reading(self) -> None:
+    def pause_reading(self, reason: Pause) -> None:
+        """Leave further bytes to the kernel, whose buffers hold the client up, until the reason has ended."""
+        self.pauses.add(reason)
         if self.transport is not None and not self.transport.is_closing():
+            self.transport.pause_reading()
+
+    def resume_reading(self, reason: Pause) -> None:
+        """Read again if there is no other reason for a pause."""
+        if reason not in self.pauses:
+            return
+        self.pauses.discard(reason)
+        if not self.pauses and self.transport is not None and not self.transport.is_closing():
             self.transport.resume_reading()
 
     def reject(self, error: BadRequest) -> None:
--- a/ivymux/data_plane/limits.py
+++ b/ivymux/data_plane/limits.py
@@ -11,7 +11,7 @@
 BODY_MEMORY_SHARE = 1 / 8  # of the process's memory, for request bodies
 LONGEST_BODY_MEMORY_SHARE = 0.4  # at the most, for the longest body that clients may send
 BODY_MEMORY_PER_BYTE = 9 / 8  # of a body in short pieces, whose blocks grow by an eighth ahead
-HEAD_MEMORY_SHARE = 1 / 16  # of the process's memory, for heads and trailers that are being received
+HEAD_MEMORY_SHARE = 1 / 8  # of the process's memory, for heads that are received, and bytes not parsed yet
 ANSWER_MEMORY_SHARE = 1 / 4  # of the process's memory, for answers that clients have not read yet
 
 
--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -13,6 +13,7 @@
 from ivymux.data_plane.client_connection import ClientConnection
 from ivymux.data_plane.frontend import Answer, BadRequest, Frontend
 from ivymux.data_plane.limits import LISTEN_BACKLOG, Address, Bounds
+from ivymux.data_plane.receive_queue import ReceiveQueue
 from ivymux.data_plane.refusal_log import RefusalLog
 from ivymux.data_plane.refusals import GATEWAY
 from ivymux.data_plane.slow_readers import ReadProgress, slowest
@@ -55,6 +56,7 @@
         self.slow_readers: dict[ClientConnection, ReadProgress] = {}  # whose write buffers are full
         self.open_keys: set[bytes] = set()  # of requests that are not finished
         self.held_bytes = 0  # of request bodies
+        self.receive_queue = ReceiveQueue(self.loop)
         self.head_bytes = 0  # memory of the heads and trailers that are being received
         self.max_total_head_bytes = bounds.max_total_head_bytes
         self.is_stopping = False
@@ -155,7 +157,7 @@
         except OSError:  # the client has disconnected
             accepted.close()
             return
-        if self.is_stopping and client in self.new_clients and not client.is_receiving:
+        if self.is_stopping and client in self.new_clients and not client.has_begun:
             client.abort()
 
     def add_client(self, client: ClientConnection) -> None:
@@ -185,7 +187,9 @@
         )  # fmt: skip
         for queue, min_wait_s in choices:
             candidates = islice(queue, MAX_EVICTION_CANDIDATES)
-            first = next((client for client in candidates if not client.unsent_bytes), None)
+            first = next(
+                (client for client in candidates if not client.unsent_bytes and not client.waiting), None
+            )
             if first is not None and first is not newest and now - first.queued_at >= min_wait_s:
                 return first
         return None
@@ -265,7 +269,7 @@
             self.loop.remove_reader(copy)
             copy.close()
         self.listener_copies = []
-        for client in [*self.idle_clients, *(c for c in self.new_clients if not c.is_receiving)]:
+        for client in [*self.idle_clients, *(c for c in self.new_clients if not c.has_begun)]:
             if client.transport is not None:
                 client.transport.close()
 
