JSON: a text whose values would not fit into memory is not decoded

Callers saw: one message of 6 MiB to an inner port, or one configuration of that length, of empty lists took 177 to 262 MB of 128, twenty of them 2,383 MB in a registry.

Cause: limits on messages and configurations count the bytes of their text, but an empty list takes 2 bytes as text and some 70 once decoded.

Before a text of 64 KiB or more is decoded, the signs that begin or separate its values are counted: at most 1,000,000. In a message the texts among its members, such as a configuration, count as one value. A configuration of 6 MiB has some 250,000.

FrameDecoder now hands out one message at a time too.

--- a/ivymux/routing_config/route_plan.py
+++ b/ivymux/routing_config/route_plan.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from ivymux.json_values import MAX_VALUES, has_too_many_values
+
 MAX_DEADLINE_S = 600.0
 DEFAULT_DEADLINE_S = 30.0
 DEFAULT_HEADER_TIMEOUT_S = 3.0
@@ -196,6 +198,8 @@
     """Decode a configuration's text.  Raises RoutingConfigError."""
     if len(text) > MAX_TEXT_BYTES:
         raise RoutingConfigError(f"the configuration has {len(text)} bytes; {MAX_TEXT_BYTES} at most")
+    if has_too_many_values(text):
+        raise RoutingConfigError(f"the configuration may hold more than {MAX_VALUES} values; send fewer")
     try:
         raw: Any = msgspec.json.decode(text)
     except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
--- a/ivymux/transport/frames.py
+++ b/ivymux/transport/frames.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ivymux.json_values import MAX_VALUES, object_has_too_many_values
+
 MAX_FRAME_BYTES = 8 << 20  # of one message; a whole configuration fits
 MAX_LENGTH_DIGITS = len(str(MAX_FRAME_BYTES))
 LENGTH_END = b":"
@@ -53,31 +55,48 @@
 
         Raises FrameError on malformed input; the decoder must not be fed after that.
         """
-        buffer = self.buffer
-        buffer += data
+        self.add(data)
         messages: list[Message] = []
-        start = 0
-        while True:
-            length_end = buffer.find(LENGTH_END, start, start + MAX_LENGTH_DIGITS + 1)
-            if length_end < 0:
-                if len(buffer) - start > MAX_LENGTH_DIGITS:
-                    raise FrameError("a message starts without its length")
-                break
-            digits = bytes(buffer[start:length_end])
-            if not digits.isdigit():
-                raise FrameError("the length of a message is not a number")
-            size = int(digits)
-            if size > self.max_frame_bytes:
-                raise FrameError(f"a message of {size} bytes exceeds the limit of {self.max_frame_bytes}")
-            end = length_end + 1 + size
-            if len(buffer) <= end:
-                break
-            if buffer[end] != FRAME_END:
-                raise FrameError("a message does not end where its length says")
-            try:
-                messages.append(_decode(memoryview(buffer)[length_end + 1 : end].tobytes()))
-            except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
-                raise FrameError("a message is not a JSON object") from None
-            start = end + 1
-        del buffer[:start]
+        while (message := self.next_message()) is not None:
+            messages.append(message)
         return messages
+
+    def add(self, data: bytes) -> None:
+        """Keep further bytes of the stream."""
+        self.buffer += data
+
+    def next_message(self) -> Message | None:
+        """Return the next message, None if it is not complete.
+
+        Raises FrameError on malformed input; the decoder must not be used after that.
+        """
+        buffer = self.buffer
+        length_end = buffer.find(LENGTH_END, 0, MAX_LENGTH_DIGITS + 1)
+        if length_end < 0:
+            if len(buffer) > MAX_LENGTH_DIGITS:
+                raise FrameError("a message starts without its length")
+            return None
+        digits = bytes(buffer[:length_end])
+        if not digits.isdigit():
+            raise FrameError("the length of a message is not a number")
+        size = int(digits)
+        if size > self.max_frame_bytes:
+            raise FrameError(f"a message of {size} bytes exceeds the limit of {self.max_frame_bytes}")
+        end = length_end + 1 + size
+        if len(buffer) <= end:
+            return None
+        if buffer[end] != FRAME_END:
+            raise FrameError("a message does not end where its length says")
+        text = memoryview(buffer)[length_end + 1 : end].tobytes()
+        del buffer[: end + 1]
+        return decode_message(text)
+
+
+def decode_message(text: bytes) -> Message:
+    """Decode a message's JSON.  Raises FrameError."""
+    try:
+        if object_has_too_many_values(text):
+            raise FrameError(f"a message of {len(text)} bytes holds more than {MAX_VALUES} values")
+        return _decode(text)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        raise FrameError("a message is not a JSON object") from None
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -99,6 +99,8 @@
     "ivymux.proxy.name_tables",
     "ivymux.proxy.proxy_list_sources",
     "ivymux.proxy.answer_policy",
+    "ivymux.json_values",
+    "ivymux.data_plane.body_buffer",
     "ivymux.simulation.event_queue",
     "ivymux.simulation.core_cluster",
     "ivymux.simulation.loss_scenarios",
@@ -118,7 +120,7 @@
 # Each layer may import itself and the layers before it; pure modules are restricted further.
 LAYERS = (
     ("orchidhill",),
-    ("ivymux.text",),
+    ("ivymux.text", "ivymux.json_values"),
     ("ivymux.routes", "ivymux.inventory", "ivymux.data_plane", "ivymux.tally.store"),
     ("ivymux.platform", "ivymux.tally", "ivymux.membership"),
     ("ivymux.service", "standins"),
--- a/tests/transport/test_frames.py
+++ b/tests/transport/test_frames.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ivymux.json_values import MAX_VALUES
 from ivymux.transport.frames import FrameDecoder, FrameError, Message, encode_frame
 
 
@@ -42,3 +43,16 @@
         encode_frame({"t": "x" * (9 << 20)})
     with pytest.raises(FrameError):
         FrameDecoder(max_frame_bytes=100).feed(b"101:")
+
+
+def encoded(text: bytes) -> bytes:
+    return b"%d:%s," % (len(text), text)
+
+
+# A list of empty lists takes some 30 times its length once it is decoded.
+def test_a_message_with_too_many_values_is_refused_before_it_is_decoded() -> None:
+    many = b"[" + b"[]," * MAX_VALUES + b"[]]"
+    with pytest.raises(FrameError, match="values"):
+        FrameDecoder().feed(encoded(b'{"k":%s}' % many))
+    text = many.decode()
+    assert FrameDecoder().feed(encode_frame({"k": "text", "t": text})) == [{"k": "text", "t": text}]
