Inner ports: messages that do not arrive whole share an eighth of the memory

Callers saw: 20 connections to an inner port that each sent all but the end of an 8 MiB message took 162 to 194 MB of 128, at a proxy, a registry and a config store.

Cause: the limit of 8 MiB is one message's, and a listener takes 600 connections.

A listener counts what its connections hold of messages, before it is kept, and closes a connection beyond 1/8 of the memory: first one that has not sent a whole message yet, then the one that holds most.

--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -34,7 +34,13 @@
 from ivymux.data_plane.limits import Address
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
-from ivymux.transport.connection import Connection, Connector, Listener, TransportError
+from ivymux.transport.connection import (
+    Connection,
+    Connector,
+    Listener,
+    TransportError,
+    max_partial_bytes,
+)
 from ivymux.transport.frames import Message
 
 TICK_INTERVAL_S = 0.05
@@ -80,7 +86,11 @@
         self.write: asyncio.Future[None] | None = None  # the same, as it runs in the executor
         self.after_write: list[Action] = []  # actions to carry out once that write is done
         self.peers: dict[str, Connector] = {}  # by address
-        self.listener = Listener(self.on_message, on_disconnect=self.on_disconnect)
+        self.listener = Listener(
+            self.on_message,
+            on_disconnect=self.on_disconnect,
+            max_partial_bytes=max_partial_bytes(settings.memory_mb),
+        )
         self.registries: set[Connection] = set()  # that receive updates
         self.calls: dict[int, asyncio.Future[None]] = {}  # waiting for all disks of the epoch, by id
         self.last_call_id = 0
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -36,7 +36,7 @@
 from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
-from ivymux.transport.connection import Connector, Listener
+from ivymux.transport.connection import Connector, Listener, max_partial_bytes
 from ivymux.transport.frames import Message
 from orchidhill import interface as i
 from orchidhill.proxy_gateway import ProxyGateway, ProxyRules
@@ -140,7 +140,10 @@
             self.metrics_server = Server(
                 StatusPagesFrontend({METRICS: self.answer_metrics}), address, status_bounds, None
             )
-        self.listener = Listener(self.counter.on_caller_message)
+        self.listener = Listener(
+            self.counter.on_caller_message,
+            max_partial_bytes=max_partial_bytes(settings.memory_mb),
+        )
         self.cores: dict[str, CoreConnection] = {}
         self.config_version, self.first_applied_at = -1, 0.0
         self.configuration_requested_at, self.requested_version = 0.0, -1
--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -48,6 +48,7 @@
     Connector,
     Listener,
     TransportError,
+    max_partial_bytes,
 )
 from ivymux.transport.frames import Message, encode_frame
 from ivymux.transport.http_calls import (
@@ -131,7 +132,10 @@
         self.reachability = ProxyReachability(knows_fleet=settings.is_initial_start)
         max_proxies = max(MIN_PROXY_CONNECTIONS, int(settings.fd_limit * PROXY_FD_SHARE))
         self.listener = Listener(
-            self.on_message, on_disconnect=self.on_disconnect, max_connections=max_proxies
+            self.on_message,
+            on_disconnect=self.on_disconnect,
+            max_connections=max_proxies,
+            max_partial_bytes=max_partial_bytes(settings.memory_mb),
         )
         self.config_store = Connector(
             Address(settings.ip, settings.config_store_port),
--- a/ivymux/transport/connection.py
+++ b/ivymux/transport/connection.py
@@ -15,6 +15,7 @@
 from ivymux.data_plane.limits import LISTEN_BACKLOG, Address
 from ivymux.runtime.log import Log
 from ivymux.transport.frames import FrameDecoder, FrameError, FrameTooLargeError, Message, encode_frame
+from ivymux.transport.partial_frames import PartialFrames
 
 CONNECT_TIMEOUT_S = 0.8
 PING_INTERVAL_S = 0.7  # a ping is sent after this long without any other message
@@ -27,6 +28,9 @@
 MAX_FAST_RETRY_DELAY_S = 0.08
 MAX_UNSENT_BYTES = 16 << 20  # written to a peer that does not read
 MAX_CONNECTIONS = 600  # of one listener
+PARTIAL_MEMORY_SHARE = 1 / 8  # of a process's memory, for messages that have not arrived whole
+MAX_PARTIAL_BYTES = 32 << 20  # of these, where the memory is not known
+MAX_DIRECT_MESSAGES = 64  # of one connection that are handled in a row
 PING_TOLERANCE = 0.95  # share of PING_INTERVAL_S, so that a check slightly early still sends its ping
 
 # Keys of every message, and the kind that this module handles itself.
@@ -61,6 +65,11 @@
 oversized_messages = OversizedMessages()
 
 
+def max_partial_bytes(memory_mb: float) -> int:
+    """Return how many bytes of partial messages a process with this much memory keeps."""
+    return int(PARTIAL_MEMORY_SHARE * memory_mb * (1 << 20))
+
+
 class Connection(asyncio.Protocol):
     """One connection to another process of the system."""
 
@@ -82,6 +91,8 @@
         self.has_received = False  # whether anything has arrived; a relay may accept a connection to nobody
         self.is_aborted = False
         self.frame_errors = 0
+        self.has_received_message = False
+        self.partial_frames: PartialFrames | None = None  # of all connections of its listener
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -97,24 +108,50 @@
     def data_received(self, data: bytes) -> None:
         self.last_received_at = time.monotonic()
         self.has_received = True
-        try:
-            messages = self.frame_decoder.feed(data)
-        except FrameError:
-            self.frame_errors += 1
-            self.abort()
-            return
-        for message in messages:
-            call_number = message.get(REPLY_TO)
-            if call_number is not None:
-                pending = self.pending_calls.pop(call_number, None) if isinstance(call_number, int) else None
-                if pending is not None and not pending.done():
-                    pending.set_result(message)
-            elif message.get(KIND) == PING:
-                pass
-            else:
-                self.on_message(self, message)
+        if self.count_partial_frame(len(self.frame_decoder.buffer) + len(data)):
+            self.frame_decoder.add(data)
+            self.handle_messages()
+
+    def handle_messages(self) -> None:
+        """Handle the messages that have arrived whole."""
+        while self.handle_next(MAX_DIRECT_MESSAGES):
+            pass
+
+    def handle_next(self, max_messages: int) -> bool:
+        """Handle up to so many messages; return whether there may be more."""
+        for _ in range(max_messages):
+            try:
+                message = self.frame_decoder.next_message()
+            except FrameError:
+                self.frame_errors += 1
+                self.abort()
+                return False
+            if message is None:
+                self.count_partial_frame(len(self.frame_decoder.buffer))
+                return False
+            self.has_received_message = True
+            self.handle_message(message)
             if not self.is_connected:
-                return
+                return False
+        return True
+
+    def handle_message(self, message: Message) -> None:
+        """Complete the call that a message answers, or pass the message to the owner."""
+        call_number = message.get(REPLY_TO)
+        if call_number is not None:
+            pending = self.pending_calls.pop(call_number, None) if isinstance(call_number, int) else None
+            if pending is not None and not pending.done():
+                pending.set_result(message)
+        elif message.get(KIND) != PING:
+            self.on_message(self, message)
+
+    def count_partial_frame(self, size: int) -> bool:
+        """Count what is held of messages, close a connection beyond the limit; return if this is open."""
+        if self.partial_frames is not None:
+            victim = self.partial_frames.update(self, size)
+            if isinstance(victim, Connection):
+                victim.abort()
+        return self.is_connected
 
     def has_received_since(self, since: float) -> bool:
         """Whether the connection is open and something has arrived on it after the steady time `since`."""
@@ -188,6 +225,9 @@
         if not self.is_connected:
             return
         self.is_connected = False
+        self.frame_decoder.buffer.clear()
+        if self.partial_frames is not None:
+            self.partial_frames.forget(self)
         if self.liveness_timer is not None:
             self.liveness_timer.cancel()
         for pending in self.pending_calls.values():
@@ -295,11 +335,16 @@
         on_connect: Callable[[Connection], None] | None = None,
         on_disconnect: Callable[[Connection], None] | None = None,
         max_connections: int = MAX_CONNECTIONS,
+        max_partial_bytes: int = MAX_PARTIAL_BYTES,
     ) -> None:
-        """Connections over `max_connections` are aborted as soon as they are accepted."""
+        """Connections over `max_connections` are aborted as soon as they are accepted.
+
+        `max_partial_bytes`: of messages that have not arrived whole, on all connections.
+        """
         self.on_message, self.on_connect, self.on_disconnect = on_message, on_connect, on_disconnect
         self.max_connections = max_connections
         self.connections: set[Connection] = set()
+        self.partial_frames = PartialFrames(max_partial_bytes)
         self.server: asyncio.Server | None = None
 
     async def start(self, address: Address, listening: socket.socket | None = None) -> int:
@@ -311,7 +356,9 @@
         return int(self.server.sockets[0].getsockname()[1])
 
     def create_protocol(self) -> Connection:
-        return Connection(self.on_message, self.add_connection, self.remove_connection)
+        connection = Connection(self.on_message, self.add_connection, self.remove_connection)
+        connection.partial_frames = self.partial_frames
+        return connection
 
     def add_connection(self, connection: Connection) -> None:
         self.connections.add(connection)
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -101,6 +101,7 @@
     "ivymux.proxy.answer_policy",
     "ivymux.json_values",
     "ivymux.data_plane.body_buffer",
+    "ivymux.transport.partial_frames",
     "ivymux.simulation.event_queue",
     "ivymux.simulation.core_cluster",
     "ivymux.simulation.loss_scenarios",
