Inner ports: connections by descriptors, and messages in turns

Two faults of one listener, together as both change what it gives to its connections. Callers saw: (1) 650 connections to an inner port left 625 (proxy) and 620 (config store) descriptors open of 600; (2) beside 20 connections that send empty messages without end, 1 of 5 ordinary requests was answered.

Cause: (1) a listener took 600 connections whatever fd_limit is, and a proxy's sockets for clients and backends were divided without them; (2) all messages that had arrived on a connection were handled before others.

A listener of a proxy or config store takes a quarter of fd_limit, which a proxy leaves out of what it gives to clients and backends. Beyond 64 messages at once a connection pauses and takes turns of 16 messages; the time for which it waits does not count as silence.

--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -39,6 +39,7 @@
     Connector,
     Listener,
     TransportError,
+    max_connections,
     max_partial_bytes,
 )
 from ivymux.transport.frames import Message
@@ -89,6 +90,7 @@
         self.listener = Listener(
             self.on_message,
             on_disconnect=self.on_disconnect,
+            max_connections=max_connections(settings.fd_limit),
             max_partial_bytes=max_partial_bytes(settings.memory_mb),
         )
         self.registries: set[Connection] = set()  # that receive updates
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -36,7 +36,7 @@
 from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
-from ivymux.transport.connection import Connector, Listener, max_partial_bytes
+from ivymux.transport.connection import Connector, Listener, max_connections, max_partial_bytes
 from ivymux.transport.frames import Message
 from orchidhill import interface as i
 from orchidhill.proxy_gateway import ProxyGateway, ProxyRules
@@ -84,8 +84,9 @@
         self.shard_tables = ShardTables()
         self.entries = MemberEntries(self.membership, self.tables, settings.zone)
         self.holders = CounterHolders(self.id, now, settings.is_initial_start)
+        max_callers = max_connections(settings.fd_limit)  # other proxies
         bounds = Bounds.from_limits(
-            max(MIN_SOCKETS, settings.fd_limit - RESERVED_SOCKETS), settings.memory_mb
+            max(MIN_SOCKETS, settings.fd_limit - RESERVED_SOCKETS - max_callers), settings.memory_mb
         )
         max_buffered_bytes = int(settings.memory_mb * BUFFERED_ANSWERS_PART * (1 << 20))
         upstream = Upstream(
@@ -142,6 +143,7 @@
             )
         self.listener = Listener(
             self.counter.on_caller_message,
+            max_connections=max_callers,
             max_partial_bytes=max_partial_bytes(settings.memory_mb),
         )
         self.cores: dict[str, CoreConnection] = {}
--- a/ivymux/transport/connection.py
+++ b/ivymux/transport/connection.py
@@ -13,6 +13,7 @@
 from typing import Any, cast
 
 from ivymux.data_plane.limits import LISTEN_BACKLOG, Address
+from ivymux.data_plane.receive_queue import ReceiveQueue
 from ivymux.runtime.log import Log
 from ivymux.transport.frames import FrameDecoder, FrameError, FrameTooLargeError, Message, encode_frame
 from ivymux.transport.partial_frames import PartialFrames
@@ -28,9 +29,11 @@
 MAX_FAST_RETRY_DELAY_S = 0.08
 MAX_UNSENT_BYTES = 16 << 20  # written to a peer that does not read
 MAX_CONNECTIONS = 600  # of one listener
+CONNECTION_FD_SHARE = 1 / 4  # of a process's descriptors, for the connections of one listener
 PARTIAL_MEMORY_SHARE = 1 / 8  # of a process's memory, for messages that have not arrived whole
 MAX_PARTIAL_BYTES = 32 << 20  # of these, where the memory is not known
-MAX_DIRECT_MESSAGES = 64  # of one connection that are handled in a row
+MAX_DIRECT_MESSAGES = 64  # of one connection that are handled as they arrive; further ones wait for its turn
+MESSAGES_PER_TURN = 16
 PING_TOLERANCE = 0.95  # share of PING_INTERVAL_S, so that a check slightly early still sends its ping
 
 # Keys of every message, and the kind that this module handles itself.
@@ -70,6 +73,11 @@
     return int(PARTIAL_MEMORY_SHARE * memory_mb * (1 << 20))
 
 
+def max_connections(fd_limit: int) -> int:
+    """Return how many connections of one listener a process with so many descriptors takes."""
+    return min(MAX_CONNECTIONS, int(CONNECTION_FD_SHARE * fd_limit))
+
+
 class Connection(asyncio.Protocol):
     """One connection to another process of the system."""
 
@@ -92,6 +100,8 @@
         self.is_aborted = False
         self.frame_errors = 0
         self.has_received_message = False
+        self.receive_queue: ReceiveQueue | None = None  # for turns with other connections, if it is to wait
+        self.has_turn = False  # whether it is in that queue
         self.partial_frames: PartialFrames | None = None  # of all connections of its listener
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -113,9 +123,24 @@
             self.handle_messages()
 
     def handle_messages(self) -> None:
-        """Handle the messages that have arrived whole."""
-        while self.handle_next(MAX_DIRECT_MESSAGES):
-            pass
+        """Handle messages that have arrived; those beyond the first ones wait for the connection's turn."""
+        if not self.handle_next(MAX_DIRECT_MESSAGES):
+            return
+        if self.receive_queue is None:
+            while self.handle_next(MAX_DIRECT_MESSAGES):
+                pass
+        elif not self.has_turn and self.transport is not None and not self.transport.is_closing():
+            self.has_turn = True
+            self.transport.pause_reading()
+            self.receive_queue.add(self)
+
+    def parse_next(self) -> bool:
+        """Handle the messages of one turn; return whether there may be more."""
+        self.has_turn = self.is_connected and self.handle_next(MESSAGES_PER_TURN)
+        self.last_received_at = time.monotonic()  # what arrives meanwhile is not read yet
+        if not self.has_turn and self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+        return self.has_turn
 
     def handle_next(self, max_messages: int) -> bool:
         """Handle up to so many messages; return whether there may be more."""
@@ -345,11 +370,13 @@
         self.max_connections = max_connections
         self.connections: set[Connection] = set()
         self.partial_frames = PartialFrames(max_partial_bytes)
+        self.receive_queue: ReceiveQueue | None = None  # from the start on
         self.server: asyncio.Server | None = None
 
     async def start(self, address: Address, listening: socket.socket | None = None) -> int:
         """Listen at `address`, where `listening` may listen already; return the port.  Raises OSError."""
         loop = asyncio.get_running_loop()
+        self.receive_queue = ReceiveQueue(loop)
         if listening is None:
             listening = socket.create_server((address.host, address.port), backlog=LISTEN_BACKLOG)
         self.server = await loop.create_server(self.create_protocol, sock=listening, backlog=LISTEN_BACKLOG)
@@ -357,7 +384,7 @@
 
     def create_protocol(self) -> Connection:
         connection = Connection(self.on_message, self.add_connection, self.remove_connection)
-        connection.partial_frames = self.partial_frames
+        connection.receive_queue, connection.partial_frames = self.receive_queue, self.partial_frames
         return connection
 
     def add_connection(self, connection: Connection) -> None:
