Backends' answers: a trailer without end is refused, and answers take turns

Callers saw: eight answers with a trailer of 24 MB took 314 MB of 128.

Cause: behind the head of an answer, eight times the longest body was allowed before its length was looked at, and the parser holds a trailer until its end. An answer in short chunks was also parsed as far as it had arrived before any other connection was looked at.

Answers are parsed in slices of 16 KiB; more than 32 KiB without a part of a body make an answer invalid. What arrives beyond one slice waits for its turn among the connections to backends.

Not counted: up to 256 kB that one read of a connection brings, until its turn.

--- a/ivymux/data_plane/backend_connection.py
+++ b/ivymux/data_plane/backend_connection.py
@@ -20,6 +20,8 @@
     from ivymux.data_plane.upstream import ConnectionPool
 
 MAX_HEAD_BYTES = 16 * 1024  # of an answer's header section, including interim answers
+SLICE_BYTES = 16 << 10  # parsed at a time, so that a parser holds no more than this before it is counted
+MAX_UNPARSED_BYTES = MAX_HEAD_BYTES + SLICE_BYTES  # without a part of a body, such as a trailer
 MAX_CHUNKED_OVERHEAD = 8  # bytes on the wire for each byte of body, as a chunk may hold a single byte
 STATUS_LINE_START = b"HTTP/1."
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-5][0-9][0-9][ \r]")
@@ -47,12 +49,16 @@
         self.parser = httptools.HttpResponseParser(self)
         self.poller = select.poll()
         self.body_bytes = 0  # of the answer that is being received
+        self.waiting = memoryview(b"")  # received, and not parsed yet
+        self.is_paused = False  # while too many bytes of answers are held
         self.had_mismatch = False  # whether the answer to an earlier request was received instead
         self.keep_alive_s = 0.0  # idle timeout that the backend announced; 0 if none
         self.reset()
 
     def reset(self) -> None:
         """Prepare for the answer to the next request."""
+        self.unparsed_bytes = 0  # since the last part of a body; the parser may hold them
+        self.has_parsed_body = False  # whether the slice that is being parsed held such a part
         self.read_bytes = 0  # of the current answer, including interim answers
         self.pool.upstream.answer_flow.remove(self)
         self.result: Result | None = None  # set once the answer is complete
@@ -104,11 +110,20 @@
 
     def pause_reading(self) -> None:
         """Leave further bytes of the answer to the kernel, whose buffers hold the backend up."""
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.pause_reading()
+        self.is_paused = True
+        self.update_reading()
 
     def resume_reading(self) -> None:
-        if self.transport is not None and not self.transport.is_closing():
+        self.is_paused = False
+        self.update_reading()
+
+    def update_reading(self) -> None:
+        """Read unless too many bytes of answers are held, or bytes of this one wait for their turn."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.is_paused or self.waiting:
+            self.transport.pause_reading()
+        else:
             self.transport.resume_reading()
 
     # --- the answer --------------------------------------------------------------------------------
@@ -117,16 +132,39 @@
         if self.attempt is None:
             self.abort()  # an answer without a request: the bytes can't be attributed
             return
+        if len(data) <= SLICE_BYTES:
+            self.parse_slice(data)
+            return
+        self.waiting = memoryview(data)
+        self.update_reading()
+        self.pool.upstream.receive_queue.add(self)
+
+    def parse_next(self) -> bool:
+        """Parse the next slice of the bytes that wait; return whether there are more."""
+        if self.attempt is None or self.transport is None or self.transport.is_closing():
+            self.waiting = memoryview(b"")  # the answer has ended, or was given up
+            return False
+        piece, self.waiting = self.waiting[:SLICE_BYTES], self.waiting[SLICE_BYTES:]
+        self.parse_slice(bytes(piece))
+        if not self.waiting:
+            self.update_reading()
+        return bool(self.waiting)
+
+    def parse_slice(self, data: bytes) -> None:
+        """Parse bytes of the answer; deliver it if it is complete, end the attempt if it is invalid."""
+        assert self.attempt is not None
         self.read_bytes += len(data)
         if not self.has_final_headers:
             self.head_bytes += data
+        self.has_parsed_body = False
         error = self.feed_parser(data)
         while error is not None and self.result is None and self.restart_after_surplus():
             error = self.feed_parser(self.head_bytes)
+        self.unparsed_bytes = 0 if self.has_parsed_body else self.unparsed_bytes + len(data)
         if self.result is None:
             if error is not None:
                 log.warning("backend %s: invalid answer: %s", self.pool.backend, error.__context__ or error)
-            elif self.read_bytes > self.max_answer_bytes():
+            elif self.read_bytes > self.max_answer_bytes() or self.unparsed_bytes > MAX_UNPARSED_BYTES:
                 log.warning("backend %s: the answer is too long", self.pool.backend)
             else:
                 return
@@ -137,9 +175,8 @@
         # Deliver only after all bytes read were parsed: `finish` may start the next attempt on this
         # connection, and bytes after this answer must not count for that attempt.  They do not invalidate
         # this answer.
-        self.deliver(
-            self.attempt, self.result, self.is_reusable and error is None and not self.has_unsent_bytes
-        )
+        is_whole = error is None and not self.has_unsent_bytes and not self.waiting
+        self.deliver(self.attempt, self.result, self.is_reusable and is_whole)
 
     def feed_parser(self, data: bytes) -> Exception | None:
         """Parse bytes of the answer; return the error that ended it, if there was one."""
@@ -257,6 +294,7 @@
     def on_body(self, body: bytes) -> None:
         if self.is_bodiless:
             raise InvalidAnswer("a body after an answer that has none")
+        self.has_parsed_body = True
         self.body_bytes += len(body)
         if self.body_bytes > self.policy.max_body_bytes:
             raise InvalidAnswer(f"its body is longer than {self.policy.max_body_bytes} bytes")
--- a/ivymux/data_plane/upstream.py
+++ b/ivymux/data_plane/upstream.py
@@ -14,6 +14,7 @@
 from ivymux.data_plane.backend_connection import BackendConnection
 from ivymux.data_plane.body_buffer import Blocks
 from ivymux.data_plane.limits import Address
+from ivymux.data_plane.receive_queue import ReceiveQueue
 from orchidhill.interface import Outcome
 
 MAX_SHARE_PER_BACKEND = 0.5  # of all connections that one backend may have
@@ -117,6 +118,7 @@
         self.max_connections = max_connections
         self.default_max_idle_s = IDLE_TIME_SHARE * conn_idle
         self.loop = asyncio.get_running_loop()
+        self.receive_queue = ReceiveQueue(self.loop)
         self.pools: dict[int, ConnectionPool] = {}
         self.backend_by_address: dict[Address, int] = {}
         # Backends whose address another one has taken, with the address and the start that they had.
