Proxies: headers of finished requests are dropped, and shares add up

Callers saw: 600 connections that each sent one whole request of 2,500 short headers, inside all limits, and then rested took 210 MB of 128.

Cause: a connection kept the headers of its last request until the next one, some 450 kB for 16 KiB of text, and nothing counted them; heads of requests in progress were not counted either. The shares of bodies (up to 0.4 where the longest body needs it), answers and heads added up to more than the memory.

Headers are dropped once a request was passed on. Requests in progress count with the heads. Bodies and answers have 0.45 of the memory together: bodies beyond their usual eighth only where answers leave room, answers what bodies leave.

Evidence: the test of resting connections took 209.6 MB before, and passes now. A mixture of seven crowds, unread answers and partial frames passed before too; it stays as a test.

--- a/ivymux/data_plane/answer_flow.py
+++ b/ivymux/data_plane/answer_flow.py
@@ -25,6 +25,7 @@
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
         self.unread_bytes: Callable[[], int] = lambda: 0  # of whole answers that clients have not read yet
+        self.room_bytes: Callable[[], int] = lambda: max_bytes  # of these, and of answers that are received
         self.held_bytes = 0  # of answers that are being received
         self.sizes: dict[Reader, int] = {}  # of these, the longest arriving first
         self.paused: set[Reader] = set()
@@ -33,7 +34,7 @@
         """Count further bytes of an answer."""
         self.held_bytes += size
         self.sizes[reader] = self.sizes.get(reader, 0) + size
-        if self.held_bytes > self.max_bytes or self.is_full():
+        if self.is_full():
             self.pause(reader)
 
     def remove(self, reader: Reader) -> None:
@@ -45,7 +46,7 @@
         self.update()
 
     def is_full(self) -> bool:
-        return self.held_bytes + self.unread_bytes() > self.max_bytes
+        return self.held_bytes + self.unread_bytes() > min(self.max_bytes, self.room_bytes())
 
     def pause(self, reader: Reader) -> None:
         """Pause an answer unless it is short, or the one that has been arriving for longest."""
--- a/ivymux/data_plane/client_connection.py
+++ b/ivymux/data_plane/client_connection.py
@@ -45,14 +45,15 @@
 class Exchange:
     """One request on a client connection and its answer, which is written after all earlier answers."""
 
-    __slots__ = ("answer", "call", "client", "held_bytes", "keep_alive", "request")
+    __slots__ = ("answer", "call", "client", "held_bytes", "keep_alive", "request", "request_bytes")
 
     def __init__(self, client: ClientConnection, keep_alive: bool) -> None:
         self.client, self.keep_alive = client, keep_alive
         self.answer: Answer | None = None
         self.request: OpenRequest | None = None
         self.call: Call | None = None
-        self.held_bytes = 0
+        self.held_bytes = 0  # of its body
+        self.request_bytes = 0  # memory of the rest of the request, while it is in progress
 
     def reply(self, answer: Answer) -> None:
         self.answer = answer
@@ -63,6 +64,7 @@
         server = self.client.server
         server.held_bytes -= self.held_bytes
         self.held_bytes = 0
+        server.release_request(self)
         if (call := self.call) is not None:
             server.open_keys.discard(call.unique_key)
             if call.on_finished is not None:
@@ -353,6 +355,7 @@
             if exchange.answer is None:
                 exchange.reply(Answer(502))
         self.release_body()
+        self.headers = []  # many short ones take much more than their text
 
     def handle_request(self, exchange: Exchange) -> None:
         """Answer a complete request or pass it to the host.  Raises BadRequest."""
@@ -383,6 +386,7 @@
 
     def submit(self, exchange: Exchange, call: Call) -> None:
         """Pass an accepted request to the host; its body is then counted by the exchange."""
+        self.server.hold_request(exchange, self.head_bytes)
         exchange.call = call
         exchange.held_bytes, self.held_bytes = self.held_bytes, 0
         host = self.server.host
--- a/ivymux/data_plane/limits.py
+++ b/ivymux/data_plane/limits.py
@@ -12,6 +12,7 @@
 LONGEST_BODY_MEMORY_SHARE = 0.4  # at the most, for the longest body that clients may send
 BODY_MEMORY_PER_BYTE = 9 / 8  # of a body in short pieces, whose blocks grow by an eighth ahead
 HEAD_MEMORY_SHARE = 1 / 8  # of the process's memory, for heads that are received, and bytes not parsed yet
+MESSAGE_MEMORY_SHARE = 0.45  # of the process's memory, for request bodies and answers together
 ANSWER_MEMORY_SHARE = 1 / 4  # of the process's memory, for answers that clients have not read yet
 
 
@@ -44,7 +45,8 @@
     max_backend_connections: int
     max_held_bytes: int  # of request bodies
     max_held_answer_bytes: int = 1 << 62  # of answers that clients have not read yet
-    max_total_head_bytes: int = 1 << 20  # of heads and trailers that are being received
+    max_total_head_bytes: int = 16 << 20  # of heads, trailers and what is not parsed yet
+    max_message_bytes: int = 1 << 62  # of request bodies and answers together
 
     @classmethod
     def from_limits(cls, sockets: int, memory_mb: float) -> Bounds:
@@ -56,6 +58,7 @@
             left // 2, surplus, left - left // 2,
             int(memory_bytes * BODY_MEMORY_SHARE), int(memory_bytes * ANSWER_MEMORY_SHARE),
             int(memory_bytes * HEAD_MEMORY_SHARE),
+            int(memory_bytes * MESSAGE_MEMORY_SHARE),
         )  # fmt: skip
 
 
--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -10,7 +10,7 @@
 from itertools import islice
 from typing import TYPE_CHECKING
 
-from ivymux.data_plane.client_connection import ClientConnection
+from ivymux.data_plane.client_connection import ClientConnection, Exchange
 from ivymux.data_plane.frontend import Answer, BadRequest, Frontend
 from ivymux.data_plane.limits import LISTEN_BACKLOG, Address, Bounds
 from ivymux.data_plane.receive_queue import ReceiveQueue
@@ -22,6 +22,7 @@
     from ivymux.data_plane.host import Host
 
 MAX_HEAD_BYTES = 16 * 1024
+REQUEST_MEMORY_BYTES = 2 << 10  # of a request in progress, beside its head and its body
 READ_TIMEOUT_S = 2.3  # to receive a complete request; the first one is timed from the connect
 IDLE_TIMEOUT_S = 15.0  # of a keep-alive connection, while fewer than half of all connections are in use
 LINGER_S = 3.0  # for a client to read the last answer on its connection
@@ -43,6 +44,9 @@
         self.frontend, self.listen, self.host = frontend, listen, host
         self.max_clients, self.surplus_clients = bounds.max_clients, bounds.surplus_clients
         self.max_held_bytes = bounds.max_held_bytes  # of request bodies; requests beyond it are refused
+        self.usual_held_bytes = bounds.max_held_bytes  # the same while answers take their whole share
+        self.max_message_bytes = bounds.max_message_bytes
+        self.answer_bytes: Callable[[], int] = self.unread_answer_bytes  # memory of all answers
         self.max_held_answer_bytes = bounds.max_held_answer_bytes  # of answers that clients have not read yet
         self.closed_slow_readers = 0  # since the start, to keep within that
         self.loop = asyncio.get_running_loop()
@@ -79,22 +83,54 @@
         return self.frontend.refusal(error)
 
     def count_head(self, client: ClientConnection, size: int) -> None:
-        """Count the memory of a connection's incomplete head; refuse the largest ones beyond the limit."""
+        """Count the memory of a connection's incomplete head, within the limit of all."""
         self.head_bytes += size - client.counted_head_bytes
         client.counted_head_bytes = size
+        self.limit_heads()
+
+    def limit_heads(self) -> None:
+        """Refuse the incomplete requests with the largest heads while all take more than the limit."""
         while self.head_bytes > self.max_total_head_bytes:
-            largest = max(self.clients, key=lambda other: other.counted_head_bytes, default=client)
-            if not largest.counted_head_bytes:
+            largest = max(self.clients, key=lambda other: other.counted_head_bytes, default=None)
+            if largest is None or not largest.counted_head_bytes:
                 return
             largest.reject(BadRequest("too much is held", 503))  # nothing has been executed
 
+    def hold_request(self, exchange: Exchange, head_bytes: int) -> None:
+        """Count the memory of a request, without its body, until it is released.
+
+        Raises BadRequest if there is no room, even without the heads that are being received.
+        """
+        exchange.request_bytes = head_bytes + REQUEST_MEMORY_BYTES
+        self.head_bytes += exchange.request_bytes
+        self.limit_heads()
+        if self.head_bytes > self.max_total_head_bytes:
+            self.release_request(exchange)
+            raise BadRequest("too much is held", 503)  # nothing has been executed
+
+    def release_request(self, exchange: Exchange) -> None:
+        """Stop counting a request; once more has no effect."""
+        self.head_bytes -= exchange.request_bytes
+        exchange.request_bytes = 0
+
+    def body_room_bytes(self) -> int:
+        """Return how much memory bodies may take: their usual share, and more where answers leave it."""
+        usual = min(self.usual_held_bytes, self.max_held_bytes)
+        if self.held_bytes <= usual:
+            return usual
+        return max(usual, min(self.max_held_bytes, self.max_message_bytes - self.answer_bytes()))
+
+    def answer_room_bytes(self) -> int:
+        """Return how much memory answers may take: their usual share, less what bodies have of it."""
+        return min(self.max_held_answer_bytes, self.max_message_bytes - self.held_bytes)
+
     def limit_bodies(self, client: ClientConnection) -> None:
         """Refuse the incomplete requests with the longest bodies while all take more than the limit.
 
         Raises BadRequest if that of `client`, which has just grown, is one of them.
         """
         too_much = BadRequest("too much is held", 503)  # nothing has been executed
-        while self.held_bytes > self.max_held_bytes:
+        while self.held_bytes > self.body_room_bytes():
             longest = max(self.clients, key=lambda other: other.held_bytes, default=client)
             if longest.held_bytes <= client.held_bytes:
                 raise too_much
@@ -218,6 +254,7 @@
                 else:
                     client.abort()
         self.close_stalled_readers()
+        self.limit_slow_readers()
         self.on_answers_read()
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.close_overdue)
 
@@ -227,7 +264,7 @@
         for client, progress in self.slow_readers.items():
             progress.update(now, client.unsent_bytes, client.held_answer_bytes)
         max_clients = self.frontend.max_unread_clients
-        for client in slowest(self.slow_readers, now, max_clients, self.max_held_answer_bytes):
+        for client in slowest(self.slow_readers, now, max_clients, self.answer_room_bytes()):
             self.closed_slow_readers += 1
             client.abort()
 
--- a/ivymux/hosting/server.py
+++ b/ivymux/hosting/server.py
@@ -90,6 +90,7 @@
             share.held_bytes -= self.held_bytes
             self.client.server.held_bytes -= self.held_bytes
             self.held_bytes = 0
+        self.client.server.release_request(self)
         if (call := self.call) is not None and call.on_finished is not None:
             call.on_finished()  # `unique_key` is not used here: the workers check that request ids are unique
 
@@ -225,6 +226,7 @@
             return
         generation = tenant.generation
         assert generation is not None and isinstance(exchange, HostedExchange)
+        server.hold_request(exchange, self.head_bytes)
         exchange.share, exchange.call = share, call
         exchange.held_bytes, self.held_bytes = self.held_bytes, 0
         tenant.served_count += 1
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -125,9 +125,12 @@
         )
         self.server = Server(self.frontend, settings.listen_address("front_addr"), bounds, self.host)
         self.server.listening_socket = self.sockets.take(self.server.listen)
-        upstream.answer_flow.unread_bytes = self.server.unread_answer_bytes
+        flow = upstream.answer_flow
+        flow.unread_bytes = self.server.unread_answer_bytes
+        flow.room_bytes = self.server.answer_room_bytes
+        self.server.answer_bytes = lambda: flow.held_bytes + self.server.unread_answer_bytes()
         self.server.on_answers_read = upstream.answer_flow.update
-        status_bounds = Bounds(64, 8, 0, 1 << 16)
+        status_bounds = Bounds(64, 8, 0, 1 << 16, max_total_head_bytes=1 << 20)
         self.ready_server = Server(
             StatusPagesFrontend({READINESS: self.answer_readiness}),
             settings.listen_address("ready_addr"),
--- a/ivymux/simulation/misbehaving_clients.py
+++ b/ivymux/simulation/misbehaving_clients.py
@@ -35,6 +35,9 @@
 HEADER_VALUE = Misbehaviour(REQUEST_HEAD + b"X-Long: ", repeated(b"v"))
 HEADER_NAME = Misbehaviour(REQUEST_HEAD, repeated(b"n"))
 SHORT_HEADERS = Misbehaviour(REQUEST_HEAD, repeated(b"a:b\r\n"))
+WHOLE_REQUEST_OF_SHORT_HEADERS = Misbehaviour(
+    REQUEST_HEAD + b"a:b\r\n" * 2500 + b"Content-Length: 0\r\n\r\n", b"\r\n"
+)
 PATH = Misbehaviour(b"GET /", repeated(b"p"))
 EMPTY_LINES = Misbehaviour(b"", repeated(b"\r\n"))
 TRAILER_VALUE = Misbehaviour(CHUNKED_HEAD + b"5\r\nhello\r\n0\r\nX-Trailer: ", repeated(b"t"))
--- a/tests/system/test_misbehaving_clients.py
+++ b/tests/system/test_misbehaving_clients.py
@@ -39,10 +39,12 @@
 
 
 @contextlib.asynccontextmanager
-async def small_cluster(folder: Path, memory_mb: int = MEMORY_MB) -> AsyncIterator[LocalCluster]:
+async def small_cluster(
+    folder: Path, memory_mb: int = MEMORY_MB, fd_limit: int = FD_LIMIT
+) -> AsyncIterator[LocalCluster]:
     """Run a core machine and a proxy with low limits, and a backend of each service."""
     async with local_cluster(folder, core_count=3, proxy_count=1, timeout_s=TIMEOUT_S) as cluster:
-        cluster.memory_mb, cluster.fd_limit = memory_mb, FD_LIMIT
+        cluster.memory_mb, cluster.fd_limit = memory_mb, fd_limit
         await cluster.start_all(initial_start=True)
         configuration = build_configuration(1)
         for route in configuration["route_table"]:
@@ -62,7 +64,7 @@
         for process in processes:
             assert process.returncode is None
             assert peak_memory_mb(process.pid) < memory_mb
-            assert len(os.listdir(f"/proc/{process.pid}/fd")) < FD_LIMIT
+            assert len(os.listdir(f"/proc/{process.pid}/fd")) < cluster.fd_limit
 
 
 async def check_crowd(cluster: LocalCluster, crowd: Crowd) -> None:
@@ -224,20 +226,70 @@
     asyncio.run(scenario())
 
 
+# A connection at rest must not keep the headers of its last request.
+def test_connections_that_rest_after_requests_of_many_headers_stay_within_the_memory(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with small_cluster(tmp_path, fd_limit=4 * FD_LIMIT) as cluster:
+            address, misbehaviour = port_of(cluster, "front"), clients.WHOLE_REQUEST_OF_SHORT_HEADERS
+            await check_crowd(cluster, Crowd(*address, misbehaviour, FD_LIMIT, 1))
+
+    asyncio.run(scenario())
+
+
+MIXTURE = (
+    clients.HEADER_VALUE,
+    clients.SHORT_HEADERS,
+    clients.TRAILER_VALUE,
+    clients.CHUNKS_OF_TWO,
+    clients.LARGE_CHUNKS,
+    clients.LONG_BODY,
+    clients.COMPLETE_REQUESTS,
+)
+
+
+# Each part within its own limit must not add up to more than the memory.
+def test_a_mixture_of_crowds_stays_within_the_memory(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with small_cluster(tmp_path, fd_limit=4 * FD_LIMIT) as cluster:
+            (proxy,) = cluster.proxy_ips
+            answer_with(SEALED_HEAD + "Content-Length: 4194304\r\n\r\n", b"a" * (4 << 20), cluster)
+            address = port_of(cluster, "front")
+            crowds = [Crowd(*address, misbehaviour, CROWD_SIZE, BYTES_EACH // 4) for misbehaviour in MIXTURE]
+            inner = port_of(cluster, "proxy")
+            crowds.append(Crowd(*inner, clients.PARTIAL_FRAME, CROWD_SIZE, 8 << 20))
+            unread = await ask_and_read_nothing(proxy, 40)
+            for crowd in crowds:
+                await crowd.join()
+            for backend in cluster.backends:
+                backend.make_answer = lambda request: None
+            for writer in unread:
+                writer.transport.abort()
+            for crowd in crowds:
+                await check_crowd(cluster, crowd)
+
+    asyncio.run(scenario())
+
+
+async def ask_and_read_nothing(proxy: str, count: int) -> list[asyncio.StreamWriter]:
+    """Send requests on connections of their own, and read no more than the beginning of the answers."""
+    request = clients.REQUEST_HEAD.replace(b"2000", b"20000") + b"Content-Length: 0\r\n\r\n"
+    writers = []
+    for _ in range(count):
+        reader, writer = await asyncio.open_connection(proxy, FRONT_PORT)
+        writer.write(request)
+        writers.append(writer)
+        with contextlib.suppress(OSError):
+            await reader.read(1)  # the rest stays unread
+    return writers
+
+
 # Answers that together are longer than a proxy's memory, to clients that read nothing.
 def test_answers_that_nobody_reads_stay_within_the_memory(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with small_cluster(tmp_path) as cluster:
             (proxy,) = cluster.proxy_ips
             answer_with(SEALED_HEAD + "Content-Length: 4194304\r\n\r\n", b"a" * (4 << 20), cluster)
-            request = clients.REQUEST_HEAD.replace(b"2000", b"20000") + b"Content-Length: 0\r\n\r\n"
-            writers = []
-            for _ in range(40):
-                reader, writer = await asyncio.open_connection(proxy, FRONT_PORT)
-                writer.write(request)
-                writers.append(writer)
-                with contextlib.suppress(OSError):
-                    await reader.read(1)  # the rest stays unread
+            writers = await ask_and_read_nothing(proxy, 40)
             check_processes(cluster)
             for writer in writers:
                 writer.transport.abort()
