Soak: crowds of clients that don't keep to the limits

A plan has one every 3 s on average, at any of the six kinds of ports, with 5 to 40 connections of 1 to 8 MB each, while machines are killed, frozen and configured as before.

--- a/ivymux/simulation/day_file.py
+++ b/ivymux/simulation/day_file.py
@@ -12,6 +12,8 @@
 
 import msgspec
 
+from ivymux.simulation.misbehaving_clients import MISBEHAVIOURS, PORTS
+
 MAX_LINE_BYTES = 1 << 16
 MAX_LINES = 500_000
 MAX_DAY_S = 3600
@@ -127,6 +129,18 @@
     count: int = 1
 
 
+class SendCrowd(Record, frozen=True, tag="crowd"):
+    """Clients that don't keep to the limits (misbehaving_clients.py) send to one port for a while."""
+
+    at: float
+    machine: str
+    port: str
+    misbehaviour: str
+    connections: int
+    bytes: int  # sent on each connection, and on those opened in its place
+    seconds: float  # after which those that have not sent all leave
+
+
 class ClientAnswer(Record, frozen=True, tag="answered"):
     """What a client received; the status is 0 if the connection ended without an answer."""
 
@@ -240,6 +254,7 @@
     | QuiesceBackend
     | CrashBackend
     | SpoilAnswers
+    | SendCrowd
 )
 Observation = (
     ClientAnswer
@@ -265,6 +280,7 @@
     QuiesceBackend,
     CrashBackend,
     SpoilAnswers,
+    SendCrowd,
 )
 
 
@@ -318,10 +334,16 @@
         raise DayError(f"event {number}: door {event.door}; there are {day.doors}, from 0")
     if isinstance(event, ConfigurationChange) and not 0 <= event.core < day.cores:
         raise DayError(f"event {number}: core {event.core}; there are {day.cores}, from 0")
-    about_machine = KillMachine | StartMachine | FreezeMachine | ReloadMachine
+    about_machine = KillMachine | StartMachine | FreezeMachine | ReloadMachine | SendCrowd
     if isinstance(event, about_machine) and event.machine not in machines:
         names = ", ".join(sorted(machines))
         raise DayError(f"event {number}: no machine {event.machine!r}; there are {names}")
+    if isinstance(event, SendCrowd) and event.misbehaviour not in MISBEHAVIOURS:
+        raise DayError(
+            f"event {number}: misbehaviour {event.misbehaviour!r}; write {', '.join(MISBEHAVIOURS)}"
+        )
+    if isinstance(event, SendCrowd) and event.port not in PORTS:
+        raise DayError(f"event {number}: port {event.port!r}; write {', '.join(PORTS)}")
     about_backend = QuiesceBackend | CrashBackend | SpoilAnswers
     if isinstance(event, about_backend) and event.backend not in backends:
         names = ", ".join(sorted(backends))
--- a/ivymux/simulation/day_player.py
+++ b/ivymux/simulation/day_player.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import signal
 from collections import Counter, defaultdict
@@ -31,10 +32,18 @@
     RecorderStall,
     ReloadMachine,
     RunEnd,
+    SendCrowd,
     SpoilAnswers,
     StartMachine,
 )  # fmt: skip
-from ivymux.simulation.local_cluster import ENTRY_POINT, LocalCluster, build_configuration, local_cluster
+from ivymux.simulation.local_cluster import (
+    ENTRY_POINT,
+    PORTS_BY_NAME,
+    LocalCluster,
+    build_configuration,
+    local_cluster,
+)
+from ivymux.simulation.misbehaving_clients import MISBEHAVIOURS, Crowd
 from standins import backend as standin
 
 FIRST_VERSION = 1  # of the configuration that is in force when a day begins
@@ -166,6 +175,8 @@
                 await self.quiesce(event.backend, event.stays)
             case CrashBackend():
                 await self.crash(event)
+            case SendCrowd():
+                await self.send_crowd(event)
             case SpoilAnswers():
                 self.observers[event.backend].pending_faults.extend([event.how] * event.count)
 
@@ -260,6 +271,15 @@
             )
         )
 
+    async def send_crowd(self, event: SendCrowd) -> None:
+        """Let a crowd send all that it has to, or for as long as the event says."""
+        ip, port = self.machine_ip(event.machine), PORTS_BY_NAME[event.port]
+        misbehaviour = MISBEHAVIOURS[event.misbehaviour]
+        crowd = Crowd(ip, port, misbehaviour, event.connections, event.bytes)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(crowd.join(), event.seconds)
+        await crowd.close()
+
     # --- the operator ------------------------------------------------------------
 
     async def change(self, event: ConfigurationChange) -> int:
--- a/ivymux/simulation/local_cluster.py
+++ b/ivymux/simulation/local_cluster.py
@@ -40,6 +40,12 @@
 SHUTDOWN_GRACE_S = 3.0  # between SIGTERM and SIGKILL
 
 
+PORTS_BY_NAME = {
+    "front": FRONT_PORT, "ready": READY_PORT, "control": CONTROL_PORT, "config_store": FIRST_INNER_PORT,
+    "registry": FIRST_INNER_PORT + 1, "proxy": FIRST_INNER_PORT + 2,
+}  # fmt: skip
+
+
 def build_configuration(version: int, **routes: str) -> dict[str, Any]:
     """Build a configuration with one route for each service; `sign` is not idempotent, all others are."""
     return {
--- a/ivymux/simulation/misbehaving_clients.py
+++ b/ivymux/simulation/misbehaving_clients.py
@@ -48,6 +48,7 @@
 LARGE_CHUNKS = Misbehaviour(CHUNKED_HEAD, b"10000\r\n" + b"c" * 0x10000 + b"\r\n")
 LONG_BODY = Misbehaviour(REQUEST_HEAD + b"Content-Length: 67108864\r\n\r\n", repeated(b"b"))
 COMPLETE_REQUESTS = Misbehaviour(b"", repeated(REQUEST_HEAD + b"Content-Length: 0\r\n\r\n"))
+REFUSED_REQUESTS = Misbehaviour(b"", repeated(b"GET /nowhere HTTP/1.1\r\nHost: minutes.example\r\n\r\n"))
 PARTIAL_FRAME = Misbehaviour(b"8388608:", repeated(b" "))
 EMPTY_FRAMES = Misbehaviour(b"", repeated(b"2:{},"))
 SILENCE = Misbehaviour(b"", b"G")  # with few bytes for each connection
@@ -61,6 +62,33 @@
 )
 
 
+# By name, as day files write them; none sends a request that a backend runs.
+HTTP_MISBEHAVIOURS = {
+    "header-value": HEADER_VALUE,
+    "header-name": HEADER_NAME,
+    "short-headers": SHORT_HEADERS,
+    "path": PATH,
+    "empty-lines": EMPTY_LINES,
+    "trailer-value": TRAILER_VALUE,
+    "short-trailers": SHORT_TRAILERS,
+    "chunk-extension": CHUNK_EXTENSION,
+    "chunks-of-one": CHUNKS_OF_ONE,
+    "chunks-of-two": CHUNKS_OF_TWO,
+    "large-chunks": LARGE_CHUNKS,
+    "long-body": LONG_BODY,
+    "refused-requests": REFUSED_REQUESTS,
+}
+FRAME_MISBEHAVIOURS = {
+    "partial-frame": PARTIAL_FRAME,
+    "long-json-frame": LONG_JSON_FRAME,
+    "empty-frames": EMPTY_FRAMES,
+}
+MISBEHAVIOURS = HTTP_MISBEHAVIOURS | FRAME_MISBEHAVIOURS
+HTTP_PORTS = ("front", "ready", "control")
+INNER_PORTS = ("config_store", "registry", "proxy")
+PORTS = HTTP_PORTS + INNER_PORTS
+
+
 class Crowd:
     """Connections that misbehave in the same way on one port."""
 
--- a/ivymux/simulation/soak_plan.py
+++ b/ivymux/simulation/soak_plan.py
@@ -23,9 +23,11 @@
     KillMachine,
     QuiesceBackend,
     ReloadMachine,
+    SendCrowd,
     SpoilAnswers,
     StartMachine,
 )
+from ivymux.simulation.misbehaving_clients import FRAME_MISBEHAVIOURS, HTTP_MISBEHAVIOURS, HTTP_PORTS
 
 CALM_START_S = 2.0  # without trouble, at the beginning
 CALM_END_S = 20.0  # at the end: the time to recover, and some requests after it
@@ -41,6 +43,7 @@
 CHANGE_INTERVAL_S = 2.0
 SPOIL_INTERVAL_S = 1.5
 CRASH_INTERVAL_S = 5.0
+CROWD_INTERVAL_S = 3.0
 LOSS_OF_ALL_INTERVAL_S = 25.0
 
 SIGN_SHARE = 0.4  # of the requests, those that may not run twice
@@ -51,6 +54,10 @@
 FAVOURITE_SHARE = 0.7  # of the very long bodies, those to one proxy
 VERY_LONG_BODY_INTERVAL_S = 0.4  # between two requests with a very long body
 MIN_VERY_LONG_BODY_BYTES, MAX_VERY_LONG_BODY_BYTES = 4 << 20, 24 << 20
+CROWD_PORTS = {"door": ("front", "ready", "proxy"), "core": ("control", "config_store", "registry")}
+MIN_CROWD_CONNECTIONS, MAX_CROWD_CONNECTIONS = 5, 40
+MIN_CROWD_BYTES, MAX_CROWD_BYTES = 1 << 20, 8 << 20  # of each connection
+MIN_CROWD_S, MAX_CROWD_S = 0.5, 4.0
 MIN_DOWN_S, MAX_DOWN_S = 0.3, 8.0  # of a crashed backend; shorter and longer than its silence is noticed
 SPOILT_ANSWERS = 3  # of a backend, in one event
 SECOND_OPERATOR_SHARE = 0.4  # of the changes, those that are sent beside another one
@@ -82,6 +89,7 @@
         *draw_machine_troubles(seed, size),
         *draw_changes(seed, size),
         *draw_backend_troubles(seed, size),
+        *draw_crowds(seed, size),
     ]
     return day, sorted(events, key=lambda event: event.at)
 
@@ -198,3 +206,21 @@
     for at in draw_times(rng, size, CRASH_INTERVAL_S):
         yield CrashBackend(at, rng.choice(names), round(rng.uniform(MIN_DOWN_S, MAX_DOWN_S), 3))
     yield QuiesceBackend(round(rng.uniform(CALM_START_S, size.seconds - CALM_END_S), 3), names[0])
+
+
+def draw_crowds(seed: int, size: SoakSize) -> Iterator[Event]:
+    """Yield crowds of clients that don't keep to the limits, each at one port of one machine."""
+    rng = random.Random(f"crowds {seed}")
+    for at in draw_times(rng, size, CROWD_INTERVAL_S):
+        kind, count = rng.choice((("door", size.doors), ("core", size.cores)))
+        port = rng.choice(CROWD_PORTS[kind])
+        misbehaviours = HTTP_MISBEHAVIOURS if port in HTTP_PORTS else FRAME_MISBEHAVIOURS
+        yield SendCrowd(
+            at,
+            f"{kind}-{rng.randrange(count)}",
+            port,
+            rng.choice(list(misbehaviours)),
+            rng.randint(MIN_CROWD_CONNECTIONS, MAX_CROWD_CONNECTIONS),
+            rng.randint(MIN_CROWD_BYTES, MAX_CROWD_BYTES),
+            round(rng.uniform(MIN_CROWD_S, MAX_CROWD_S), 3),
+        )
