Proxies: metrics and a log line tell how requests of a stop ended

Now they are counted, as metrics and once a stop in the log; the kernel is asked for answers that a client has not acknowledged. No decision is changed.

--- a/ivymux/data_plane/host.py
+++ b/ivymux/data_plane/host.py
@@ -17,6 +17,7 @@
 from ivymux.data_plane.limits import Address
 from ivymux.data_plane.refusal_log import RefusalLog
 from ivymux.data_plane.refusals import FAILED
+from ivymux.data_plane.request_endings import RequestEndings
 from ivymux.data_plane.upstream import Upstream
 from orchidhill import interface as i
 from orchidhill.interface import Outcome, State
@@ -44,6 +45,7 @@
     attempt_count: int = 0
     may_have_run: bool = False  # whether a backend may have executed it
     last_result: Result | None = None  # of the attempt that ended last
+    has_broken_off: bool = False  # whether an attempt was given up while a backend may have been at work
     is_settled: bool = False  # answered, or its client has disconnected
     is_on_hold: bool = False  # delayed, or waiting for the result of its claim; nothing is sent meanwhile
     answer: Answer | None = None
@@ -79,6 +81,7 @@
         self.unanswered_count = 0
         self.refusal_log = refusal_log or RefusalLog()
         self.departures = DepartureCounts()
+        self.endings = RequestEndings()
 
     # --- events in ---------------------------------------------------------------------------------
 
@@ -229,9 +232,7 @@
             case i.Fail():
                 self.refuse_or_fail(action.request, action)
             case i.Cancel():
-                request = self.requests.get(action.request)
-                if request is not None and (attempt := request.attempts.get(action.attempt)) is not None:
-                    attempt.give_up(Outcome.CANCELLED)
+                self.cancel_attempt(action)
             case i.Probe():
                 backend = action.backend
                 self.upstream.probe(
@@ -247,6 +248,17 @@
                     self.unsupported_actions.add(type(action).__name__)
                     log.warning("unsupported action: %s", type(action).__name__)
 
+    def cancel_attempt(self, action: i.Cancel) -> None:
+        """Give up an attempt that is in flight."""
+        request = self.requests.get(action.request)
+        attempt = request.attempts.get(action.attempt) if request is not None else None
+        if request is None or attempt is None:
+            return
+        if attempt.is_written and not request.is_settled:
+            request.has_broken_off = True
+            self.endings.broken_off_attempts += 1
+        attempt.give_up(Outcome.CANCELLED)
+
     def send(self, action: i.Send) -> None:
         """Start an attempt, after claiming its action if need be; report it MOOT if it can't be started."""
         request = self.requests.get(action.request)
@@ -353,6 +365,7 @@
         if request.deadline_timer is not None:
             request.deadline_timer.cancel()
         if answer is not None:
+            self.endings.record_answer(answer, request.has_broken_off)
             request.reply(answer)
 
     def forget_if_finished(self, request: OpenRequest) -> None:
--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ivymux.data_plane.client_connection import ClientConnection, Exchange
+from ivymux.data_plane.closed_connections import ClosedConnections
 from ivymux.data_plane.frontend import Answer, BadRequest, Frontend
 from ivymux.data_plane.limits import LISTEN_BACKLOG, Address, Bounds
 from ivymux.data_plane.receive_queue import ReceiveQueue
@@ -64,6 +65,7 @@
         self.head_bytes = 0  # memory of the heads and trailers that are being received
         self.max_total_head_bytes = bounds.max_total_head_bytes
         self.is_stopping = False
+        self.closed_connections = ClosedConnections()  # by `stop_listening` and `close`
         self.closes_after_answer = False  # no keep-alive; new connections are still accepted
         self.max_head_bytes = MAX_HEAD_BYTES
         self.read_timeout, self.idle_timeout = READ_TIMEOUT_S, IDLE_TIMEOUT_S
@@ -307,11 +309,15 @@
             copy.close()
         self.listener_copies = []
         for client in [*self.idle_clients, *(c for c in self.new_clients if not c.has_begun)]:
-            if client.transport is not None:
-                client.transport.close()
+            self.close_client(client)
+
+    def close_client(self, client: ClientConnection) -> None:
+        """Close a connection, once the answers on it are with the kernel."""
+        if client.transport is not None and not client.transport.is_closing():
+            self.closed_connections.record(client)
+            client.transport.close()
 
     def close(self) -> None:
         self.sweep_timer.cancel()
         for client in list(self.clients):
-            if client.transport is not None:
-                client.transport.close()
+            self.close_client(client)
--- a/ivymux/proxy/metrics.py
+++ b/ivymux/proxy/metrics.py
@@ -15,7 +15,7 @@
 
 def collect_metrics(proxy: Proxy) -> dict[str, float]:
     """Collect counters since the start, which end in `_total`, and current values."""
-    host, departures = proxy.host, proxy.host.departures
+    host, departures, endings = proxy.host, proxy.host.departures, proxy.host.endings
     return {
         "config_version": proxy.config_version,
         "in_touch": proxy.is_core_connected,
@@ -30,6 +30,11 @@
         "oversized_messages_total": oversized_messages.count,
         "interrupted_writes_total": host.upstream.interrupted_writes,
         "further_tries_spared_total": proxy.gateway.denied_retries,
+        "backend_answers_total": endings.backend_answers,
+        "own_answers_total": endings.own_answers,
+        "own_failures_total": endings.own_failures,
+        "broken_off_attempts_total": endings.broken_off_attempts,
+        "replaced_answers_total": endings.replaced_answers,
         "departed_requests_total": departures.requests,
         "departed_attempts_total": departures.attempts,
         "departed_unwritten_total": departures.unwritten,
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -432,7 +432,8 @@
         Reports not ready first, accepts connections for a while, then finishes open requests, and lets
         clients read their answers, within the configured shutdown grace.
         """
-        started_at = time.monotonic()
+        started_at, earlier = time.monotonic(), self.host.endings.copy()
+        open_count = self.host.unanswered_count
         self.is_stopping = self.server.closes_after_answer = True
         log.info("stopping: new connections are accepted for a while, then open requests are finished.")
         await asyncio.sleep(min(STOP_LISTENING_DELAY_S, self.settings.shutdown_grace_s / 2))
@@ -444,6 +445,10 @@
         if line := self.host.departures.log_line():
             log.info(f"{line}.")
         self.server.close()
+        log.info(
+            f"{open_count} requests were open as the stop began; since then"
+            f" {self.host.endings.since(earlier).describe()}; {self.server.closed_connections.describe()}."
+        )
         if self.trial_client is not None:
             self.trial_client.close()
         if self.keyed_requests is not None:
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -47,6 +47,7 @@
     "ivymux.tally.clock",
     "ivymux.data_plane.answer_flow",
     "ivymux.data_plane.answer_policy",
+    "ivymux.data_plane.request_endings",
     "ivymux.service.headers",
     "ivymux.service.problem",
     "ivymux.service.callers",
