Proxies: a request at a slow backend is copied, not broken off

What callers saw: a safe request whose backend took long, or sent its answer in pieces, was cancelled there after some 1.3 to 2.3 s, begun again elsewhere, and ended with the proxy's own 504 at its deadline, though the first backend would have answered in time.

Cause: `retry_silent` gave up an attempt for its backend's silence. A proxy of many sends each backend less than one request a second, so almost every long request looks silent.

Now the request goes to another backend as well, under the same conditions and the same budget; the first whole answer counts, and the other attempt is then cancelled. A failed attempt ends nothing while another is at work. The silent backend is still reported to the registry, now as the copy is sent.

The test that asked for a cancelled attempt is replaced by ones that ask for none, and for the copy, its budget, both winners and eight failures beside an attempt at work; the test of keys' holders now also refuses a copy.

--- a/ivymux/proxy/failure_reports.py
+++ b/ivymux/proxy/failure_reports.py
@@ -10,6 +10,7 @@
 from ivymux.data_plane.attempt import Result
 from ivymux.data_plane.host import Host, OpenRequest
 from ivymux.transport.frames import Message
+from orchidhill import interface as i
 from orchidhill.interface import Outcome
 
 BATCH_INTERVAL_S = 0.03  # failures within this time are reported in one message
@@ -31,6 +32,13 @@
     success_count = 0
     report_failure: Callable[[int], None] = staticmethod(lambda backend: None)
 
+    def start_attempt(self, request: OpenRequest, number: int, action: i.Send, time_left: float) -> None:
+        """Report the backends of the attempts in flight, which took too long, and start a further one."""
+        for attempt in request.attempts.values():
+            if attempt.connection is not None:
+                self.report_failure(attempt.connection.pool.backend)
+        super().start_attempt(request, number, action, time_left)
+
     def on_attempt_finished(self, request: OpenRequest, number: int, backend: int, result: Result) -> None:
         if result.outcome is Outcome.OK:
             self.success_count += 1
--- a/ivymux/proxy/module_settings.py
+++ b/ivymux/proxy/module_settings.py
@@ -17,7 +17,7 @@
 
 def module_settings() -> i.Settings:
     """Return the settings without classes and plans, which arrive with the configuration."""
-    second_copies, cancel, probes, retry_after = False, True, False, True
+    second_copies, cancel, probes, retry_after = True, True, False, True
     limits = i.Limits(
         MAX_ATTEMPTS, second_copies, cancel, probes, retry_after, MAX_RETRY_AFTER_S, CONNECT_TIMEOUT_S
     )
--- a/ivymux/simulation/backend_selection.py
+++ b/ivymux/simulation/backend_selection.py
@@ -60,7 +60,8 @@
     proxy: int
     started_at: float
     attempts: int = 0
-    backend: int = 0  # number of the backend that has the last attempt
+    in_flight: dict[int, int] = field(default_factory=dict)  # backends' numbers by attempt
+    is_answered: bool = False
 
 
 class BackendSelectionSimulation(EventQueue):
@@ -136,8 +137,8 @@
                 fired = i.Fired(action.token)
                 self.schedule_at(action.at, lambda e=fired: self.dispatch(proxy, e))  # type: ignore[misc]
             elif isinstance(action, i.Cancel):
-                request = self.open_requests[action.request]
-                self.on_attempt_end(action.request, request.attempts - 1, request.backend, Outcome.CANCELLED)
+                backend = self.open_requests[action.request].in_flight[action.attempt]
+                self.on_attempt_end(action.request, action.attempt, backend, Outcome.CANCELLED)
             elif isinstance(action, i.Refuse | i.Fail):
                 del self.open_requests[action.request]
                 self.failed += 1
@@ -145,7 +146,11 @@
     def send(self, proxy: int, action: i.Send) -> None:
         """Send an attempt to a backend, on an idle connection if there is one."""
         request, backend_index = self.open_requests[action.request], action.backend - 1
-        attempt, request.attempts, request.backend = request.attempts, request.attempts + 1, action.backend
+        if self.shares_failures:
+            for slow_backend in request.in_flight.values():
+                self.report_failure(proxy, slow_backend)
+        attempt, request.attempts = request.attempts, request.attempts + 1
+        request.in_flight[attempt] = action.backend
         self.retries += attempt > 0
         if self.now < START_TIME + 1:
             self.first_second_requests[backend_index] = self.first_second_requests.get(backend_index, 0) + 1
@@ -197,21 +202,20 @@
             answer(Outcome.FULL)
 
     def on_attempt_end(self, number: int, attempt: int, backend: int, outcome: Outcome) -> None:
-        """End the current attempt of a request and pass its outcome to the proxy."""
+        """End an attempt of a request and pass its outcome to the proxy."""
         request = self.open_requests.get(number)
-        if request is None or attempt != request.attempts - 1 or request.backend != backend:
+        if request is None or request.in_flight.pop(attempt, None) is None:
             return  # the attempt was cancelled before
-        if outcome is Outcome.OK:
-            del self.open_requests[number]
+        if outcome is Outcome.OK and not request.is_answered:
+            request.is_answered = True
             duration_s = self.now - request.started_at
             self.latencies.append((request.started_at, duration_s / self.services[request.service].work_s))
-        elif self.shares_failures and indicates_backend_failure(outcome, 500):
+        elif self.shares_failures and not request.is_answered and indicates_backend_failure(outcome, 500):
             self.report_failure(request.proxy, backend)
-        request.backend = 0
-        self.dispatch(
-            request.proxy,
-            i.Finished(number, attempt, backend, outcome, outcome is Outcome.OK, 0.0, 0, 0, ()),
-        )
+        if request.is_answered and not request.in_flight:
+            del self.open_requests[number]
+        closed = request.is_answered
+        self.dispatch(request.proxy, i.Finished(number, attempt, backend, outcome, closed, 0.0, 0, 0, ()))
 
     def report_failure(self, proxy: int, backend: int) -> None:
         """Report a failure to the outlier detector; an ejection reaches all proxies after a delay."""
--- a/orchidhill/proxy_gateway.py
+++ b/orchidhill/proxy_gateway.py
@@ -27,7 +27,7 @@
 EJECT_S = 0.6  # for which an unreachable backend is ejected; doubles with each further failure in a row
 MAX_EJECT_S = 5.0
 SILENT_FACTOR = 5.0  # times its class's latency without an answer after which a backend counts as silent
-LOST_FACTOR = 8.0  # times its class's latency after which a safe attempt goes to another backend
+LOST_FACTOR = 8.0  # times its class's latency after which a safe request also goes to another backend
 MIN_SILENCE_S = 0.4  # lower bound of the silence that counts
 RETRY_AFTER_SHARE = 0.25  # of the target latency: the retry-after of a refusal for lack of backends
 # Parts of the units that the quota rule allows beyond a quota (`excess_allowance`):
@@ -399,6 +399,8 @@
             job.possible_run = ended
         if event.closed or event.outcome is Outcome.OK:
             self.close(job)
+        if event.outcome is Outcome.OK:
+            self.actions += [i.Cancel(event.request, attempt) for attempt in job.in_flight]
         if not job.in_flight:
             if job.closed:
                 self.close(job)
@@ -530,17 +532,21 @@
             if self.now > job.deadline - MARGIN_S - TICK_S:
                 self.refuse(job, 0.0, Why.DEADLINE)
         self.admit_queued()
-        self.retry_silent()
+        self.copy_to_others()
         if self.now >= self.scan_at:
             self.scan_at = self.now + SCAN_TICKS * TICK_S
             self.return_idle_credits()
 
-    def retry_silent(self) -> None:
-        """Cancel attempts of safe requests at silent backends, to retry them at others that take requests."""
+    def copy_to_others(self) -> None:
+        """Send safe requests whose backends are silent to another backend too, and let both run.
+
+        The first whole answer counts.  An attempt that was cancelled at a slow backend would have to begin
+        again elsewhere, with less time left, and might end without an answer although it was at work.
+        """
         for job in [j for j in self.jobs.values() if len(j.in_flight) == 1 and not j.closed]:
             if job.cls.effect is not Effect.SAFE:
                 continue
-            ((attempt, (backend, sent_at)),) = job.in_flight.items()
+            ((backend, sent_at),) = job.in_flight.values()
             usual_latency = self.class_latency[job.req.cls]
             silence = self.now - max(sent_at, backend.answered_at)
             is_silent = silence >= max(MIN_SILENCE_S, SILENT_FACTOR * usual_latency)
@@ -549,7 +555,8 @@
             max_attempts = job.req.most or self.settings.limits.max_attempts
             service = self.service(job.req.service)
             reached_count = job.attempts - self.unreached.get(job.req.request, 0)
-            may_retry = reached_count < max_attempts and service.retry_tokens >= 1
+            may_copy = reached_count < max_attempts and service.retry_tokens >= 1
             has_time = job.deadline - self.now > usual_latency
-            if may_retry and has_time and self.choose_backend(job) is not None:
-                self.actions.append(i.Cancel(job.req.request, attempt))  # `retry_or_end` sends it again
+            if may_copy and has_time and (other := self.choose_backend(job)) is not None:
+                service.retry_tokens -= 1
+                self.send(job, other)
--- a/tests/proxy/test_proxy_gateway.py
+++ b/tests/proxy/test_proxy_gateway.py
@@ -167,33 +167,78 @@
     assert sent_backends(harness.send_request()[1]) == [1]
 
 
-def test_a_safe_request_is_retried_away_from_a_silent_backend() -> None:
-    harness = ProxyHarness()
+def learn_latency(harness: ProxyHarness) -> None:
+    """Let usual requests be answered after 50 ms."""
     for _ in range(40):
         request, actions = harness.send_request()
         harness.now += 0.05
         harness.finish_attempt(request, 0, sent_backends(actions)[0], Outcome.OK)
+
+
+def slow_request(harness: ProxyHarness) -> tuple[int, int, int]:
+    """Send a request to a backend that stays silent, until a copy of it is sent.
+
+    Returns the request, its first backend and the one that got the copy.  Nothing is cancelled or answered.
+    """
+    learn_latency(harness)
     request, actions = harness.send_request()
-    (backend,) = sent_backends(actions)
-    is_cancelled = False
+    (first,) = sent_backends(actions)
+    for _ in range(60):
+        harness.now += 0.025
+        actions = harness.handle(i.Fired(1))
+        assert not final_answers(actions) and not any(isinstance(a, i.Cancel) for a in actions)
+        if others := sent_backends(actions):
+            return request, first, others[0]
+    raise AssertionError("no copy was sent")
+
+
+# Guards against requests whose attempt was broken off at a slow backend for an answer of the proxy's own.
+@pytest.mark.parametrize("faster", [0, 1])
+def test_a_copy_goes_beside_a_silent_attempt_and_the_slower_one_is_cancelled_after_an_answer(
+    faster: int,
+) -> None:
+    harness = ProxyHarness()
+    request, first, other = slow_request(harness)
+    assert other != first
+    backends, slower = (first, other), 1 - faster
+    actions = harness.finish_attempt(request, faster, backends[faster], Outcome.OK)
+    assert actions[0] == i.Cancel(request, slower) and not final_answers(actions)
+    assert request in harness.gateway.jobs  # until the cancelled attempt has ended
+    harness.finish_attempt(request, slower, backends[slower], Outcome.CANCELLED)
+    assert request not in harness.gateway.jobs and not harness.gateway.attempts_in_flight
+
+
+@pytest.mark.parametrize("failed", [0, 1])
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.RESET, Outcome.ERROR, Outcome.CONNECT_FAILED])
+def test_a_request_is_not_ended_while_one_of_its_attempts_is_at_work(failed: int, outcome: Outcome) -> None:
+    harness = ProxyHarness()
+    request, *backends = slow_request(harness)
+    actions = harness.finish_attempt(request, failed, backends[failed], outcome)
+    assert not final_answers(actions) and not any(isinstance(a, i.Cancel | i.Send) for a in actions)
+    working = 1 - failed
+    actions = harness.finish_attempt(request, working, backends[working], Outcome.OK)
+    assert not final_answers(actions) and request not in harness.gateway.jobs
+
+
+def test_copies_of_slow_requests_draw_on_the_retry_budget() -> None:
+    harness = ProxyHarness()
+    learn_latency(harness)
+    service = harness.gateway.service(0)
+    service.retry_tokens = 0.0
+    _, actions = harness.send_request()
+    assert len(sent_backends(actions)) == 1 and service.retry_tokens < 1
     for _ in range(60):
         harness.now += 0.025
-        is_cancelled = is_cancelled or i.Cancel(request, 0) in harness.handle(i.Fired(1))
-        if is_cancelled:
-            break
-    assert is_cancelled
-    (other,) = sent_backends(harness.finish_attempt(request, 0, backend, Outcome.CANCELLED))
-    assert other != backend
+        assert not sent_backends(harness.handle(i.Fired(1)))
+    slow_request(harness)
+    assert service.retry_tokens < MAX_RETRY_TOKENS - 0.5
 
 
 # Guards against requests that were ended at the one backend that may run them, as it had not answered long.
 @pytest.mark.parametrize("others", [State.READY, State.DRAINING])
 def test_a_safe_request_stays_at_a_silent_backend_where_no_other_may_run_it(others: State) -> None:
     harness = ProxyHarness()
-    for _ in range(40):
-        request, actions = harness.send_request()
-        harness.now += 0.05
-        harness.finish_attempt(request, 0, sent_backends(actions)[0], Outcome.OK)
+    learn_latency(harness)
     if others is State.READY:  # they serve, but do not hold the request's key
         harness.number += 1
         request = harness.number
@@ -207,7 +252,8 @@
         harness.set_backends((other, others))
     for _ in range(60):
         harness.now += 0.025
-        assert i.Cancel(request, 0) not in harness.handle(i.Fired(1))
+        actions = harness.handle(i.Fired(1))
+        assert not any(isinstance(action, i.Cancel | i.Send) for action in actions)
 
 
 def test_a_lower_quota_applies_at_once_and_unlimited_tenants_make_no_calls() -> None:
