Rules: a failure of a stopping proxy's own in an answer's place is LOST

`replay` and soaks looked for connections without an answer only; a request that a stopping proxy breaks off at its backend and answers with 500, 502, 503 or 504 broke no rule of ours. Planned starts no longer excuse either: a successor's start is no trouble.

--- a/ivymux/simulation/rules/__init__.py
+++ b/ivymux/simulation/rules/__init__.py
@@ -26,6 +26,7 @@
     departures.check_readiness,
     departures.check_abandoned_work,
     departures.check_lost_requests,
+    departures.check_replaced_answers,
     load.check_quota,
     load.check_attempts,
     load.check_retry_budget,
--- a/ivymux/simulation/rules/departures.py
+++ b/ivymux/simulation/rules/departures.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Iterable
 
-from ivymux.simulation.day_file import BackendQuiesced
+from ivymux.simulation.day_file import BackendQuiesced, ClientAnswer, ClientRequest, StartMachine
 from ivymux.simulation.rules.history import QUIET_PERIOD_S, Breach, History, is_repeatable
 
 DRAIN_BOUND_S = 2.5  # after its acknowledgement, a quiescing backend receives no more requests
@@ -14,6 +14,9 @@
 CONTINUED_SHARE = 0.25  # share that may continue, of the runs that would last beyond that bound
 DRAIN_TIME_S = 3.0  # drain time of the proxies that replay starts
 UNANSWERED_ALLOWANCE = 3  # requests that may end without an answer although no proxy was ended
+OWN_FAILURES = (500, 502, 503, 504)  # of a proxy, where they have no backend's seal
+ROUTE_DEADLINE_S = 2.0  # of the cluster's configuration
+DEADLINE_MARGIN_S = 0.1  # before it, within which proxies give attempts up
 
 
 def check_drained_backends(history: History) -> Iterable[Breach]:
@@ -77,17 +80,50 @@
         runs = history.runs.get(id, ())
         if request is None or answer.status or not runs or answer.at - answer.sent >= request.waits:
             continue
-        machine = f"door-{request.door}"
-        drains = [kill.at for kill in history.kills if kill.machine == machine and kill.how == "term"]
-        is_draining = any(at <= answer.at <= at + DRAIN_TIME_S + 1 for at in drains)
-        faults = [kill.at for kill in history.kills if kill.how != "term"]
-        faults += [start.at for start in history.starts]
-        is_disturbed = any(answer.sent - QUIET_PERIOD_S <= at <= answer.at for at in faults)
-        is_disturbed |= history.is_frozen(answer.sent, answer.at)
-        if is_draining and not is_disturbed:
+        is_draining = is_during_drain(history, request, answer)
+        if is_draining and not is_disturbed(history, answer):
             yield Breach("LOST", id, "a proxy that was draining closed its connection without an answer")
         elif not is_draining and history.is_quiet(answer.sent, answer.at):
             unanswered.append(id)
     if len(unanswered) > UNANSWERED_ALLOWANCE:
         text = f"{len(unanswered)} forwarded requests got no answer"
         yield Breach("LOST", unanswered[0], text)
+
+
+def check_replaced_answers(history: History) -> Iterable[Breach]:
+    """LOST: a draining proxy broke off a request at its backend, and answered with a failure of its own."""
+    for id, answer in history.answers.items():
+        request = history.requests.get(id)
+        if request is None or answer.status not in OWN_FAILURES or answer.seal:
+            continue
+        deadline = answer.sent + min(request.waits, ROUTE_DEADLINE_S) - DEADLINE_MARGIN_S
+        broken_off = [
+            end for run in history.runs.get(id, ()) for end in history.run_ends.get((id, run.backend), ())
+            if not end.whole and end.at < deadline and not history.crashed_during(run, request.waits)
+        ]  # fmt: skip
+        if not broken_off or id in history.disconnects or history.has_stall(answer.sent, answer.at):
+            continue
+        if is_during_drain(history, request, answer) and not is_disturbed(history, answer):
+            text = f"a proxy that was draining broke off its run and answered {answer.status}"
+            yield Breach("LOST", id, text)
+
+
+def is_during_drain(history: History, request: ClientRequest, answer: ClientAnswer) -> bool:
+    """Whether the proxy that took a request was draining when the request ended."""
+    machine = f"door-{request.door}"
+    drains = [kill.at for kill in history.kills if kill.machine == machine and kill.how == "term"]
+    return any(at <= answer.at <= at + DRAIN_TIME_S + 1 for at in drains)
+
+
+def is_disturbed(history: History, answer: ClientAnswer) -> bool:
+    """Whether a machine was killed, started after that, or frozen shortly before or during a request."""
+    faults = [kill.at for kill in history.kills if kill.how != "term"]
+    faults += [start.at for start in history.starts if not is_planned(history, start)]
+    is_near_fault = any(answer.sent - QUIET_PERIOD_S <= at <= answer.at for at in faults)
+    return is_near_fault or history.is_frozen(answer.sent, answer.at)
+
+
+def is_planned(history: History, start: StartMachine) -> bool:
+    """Whether a machine starts after it was asked to end, as opposed to after a kill."""
+    earlier = [kill for kill in history.kills if kill.machine == start.machine and kill.at <= start.at]
+    return bool(earlier) and max(earlier, key=lambda kill: kill.at).how == "term"
--- a/tests/simulation/faulty.py
+++ b/tests/simulation/faulty.py
@@ -23,7 +23,7 @@
 from ivymux.proxy.program import Proxy
 from orchidhill import interface as i
 from orchidhill.interface import Outcome, State
-from orchidhill.proxy_gateway import ProxyGateway
+from orchidhill.proxy_gateway import MIN_SILENCE_S, ProxyGateway
 
 
 def replace_attribute(owner: Any, name: str, value: Any) -> None:
@@ -177,6 +177,18 @@
     replace_attribute(Proxy, "stop", stop)
 
 
+def slow_requests_broken_off() -> None:
+    def copy_to_others(self: ProxyGateway) -> None:
+        for job in [job for job in self.jobs.values() if job.in_flight and not job.closed]:
+            service = self.service(job.req.service)
+            service.retry_tokens = 0.0  # so that it ends
+            for attempt, (_, sent_at) in job.in_flight.items():
+                if self.now - sent_at > MIN_SILENCE_S:
+                    self.actions.append(i.Cancel(job.req.request, attempt))
+
+    replace_attribute(ProxyGateway, "copy_to_others", copy_to_others)
+
+
 def connects_before_it_listens() -> None:
     add_cores, listen = Proxy.add_cores, Server.listen_without_accepting
 
@@ -203,7 +215,8 @@
     no_fault, disconnect_not_passed_on, action_retried, failure_reported_as_not_executed, seal_not_checked,
     key_passed_on, path_changed, remaining_time_extended, valid_requests_denied, route_not_served,
     configuration_not_applied, configuration_reverted, draining_ignored, quota_not_enforced,
-    attempts_not_limited, deadline_ignored, stop_cuts_requests, connects_before_it_listens,
+    attempts_not_limited, deadline_ignored, stop_cuts_requests, slow_requests_broken_off,
+    connects_before_it_listens,
 )}  # fmt: skip
 
 
--- a/tests/simulation/test_rules.py
+++ b/tests/simulation/test_rules.py
@@ -223,6 +223,32 @@
     assert find_rules([*requests], [*observations, RecorderStall(21.0, 0.3)]) == []
 
 
+@pytest.mark.parametrize(
+    ("status", "broken_off_s", "rules"),
+    [
+        (504, 0.4, ["LOST"]),
+        (502, 0.4, ["LOST"]),
+        (503, 0.4, ["LOST"]),
+        (200, 0.4, []),  # another backend has answered
+        (504, 1.96, []),  # at the deadline
+        (504, None, []),  # its run was completed
+    ],
+)
+def test_a_terminated_proxy_puts_no_failure_in_the_place_of_an_answer(
+    status: int, broken_off_s: float | None, rules: list[str]
+) -> None:
+    (request,) = make_reads(1)
+    run = run_read(request)
+    ended_s = broken_off_s if broken_off_s is not None else 0.4
+    end = RunEnd(request.at + ended_s, request.id, run.backend, broken_off_s is None)
+    answer = answer_read(request, 1.97, status)
+    observations: list[Observation] = [run, end, answer if status != 200 else replace(answer, seal="seal-r")]
+    term = KillMachine(request.at + 0.2, "door-0", "term")
+    found = [rule for rule in find_rules([request, term], observations) if rule == "LOST"]
+    assert found == rules
+    assert "LOST" not in find_rules([request], observations)
+
+
 def test_a_terminated_proxy_loses_no_forwarded_request_and_others_lose_few() -> None:
     (request,) = make_reads(1)
     observations: list[Observation] = [run_read(request), answer_read(request, 0.5, 0)]
@@ -230,6 +256,10 @@
     assert find_rules([request, term], observations) == ["LOST"]
     other_fault = KillMachine(request.at - 1, "core-0")
     assert find_rules([request, term, other_fault], observations) == []
+    # The start of the proxy's successor is planned; that of a machine that was killed is not.
+    successor = StartMachine(request.at + 0.3, "door-0")
+    assert find_rules([request, term, successor], observations) == ["LOST"]
+    assert find_rules([request, term, StartMachine(request.at + 0.3, "door-1")], observations) == []
     # Without a terminated proxy, three lost requests are allowed.
     requests = make_reads(4)
     lost: list[Observation] = []
--- a/tests/simulation/test_seeded_rules.py
+++ b/tests/simulation/test_seeded_rules.py
@@ -154,6 +154,7 @@
         ("attempts_not_limited", "BUDGET", "more than 2 backends"),
         ("deadline_ignored", "CONFIG", "after their deadline"),
         ("stop_cuts_requests", "LOST", "closed its connection"),
+        ("slow_requests_broken_off", "LOST", "broke off its run"),
     ],
 )
 def test_a_seeded_fault_is_found(tmp_path: Path, fault: str, rule: str, text: str) -> None:
