--- a/ivymux/simulation/day_file.py
+++ b/ivymux/simulation/day_file.py
@@ -45,6 +45,7 @@
     rate: float = 500.0  # requests per second
     burst: float = 500.0
     work: float = 0.0  # seconds that a backend takes for a request
+    grace: float = 3.0  # seconds between SIGTERM and SIGKILL
 
 
 class ClientRequest(Record, frozen=True, tag="ask"):
@@ -59,6 +60,7 @@
     waits: float = 2.0  # seconds that the client waits, sent along as its remaining time
     leaves: float = 0.0  # seconds after which the client disconnects without an answer; 0: never
     body: int = 0  # bytes that the client sends as its body
+    work: float = 0.0  # seconds that a backend takes for it, beyond the day's `work`
 
 
 class ConfigurationChange(Record, frozen=True, tag="change"):
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -109,6 +109,7 @@
     "ivymux.simulation.election_deviations",
     "ivymux.simulation.order_exploration",
     "ivymux.simulation.soak_plan",
+    "ivymux.simulation.stop_plan",
     "ivymux.simulation.fault_schedules",
     "ivymux.simulation.day_file",
     "ivymux.simulation.quota_sharing",
