Proxies: a stop waits until clients' machines have received the answers

A stopping proxy ended once its answers were with the kernel. Where the machine's address goes with the process (a container's network, a host that is switched off next) what the kernel still held was lost, and its client saw an answer cut off.

Now the stop asks the kernel (TIOCOUTQ) and waits, within `grace` as for answers that are still in the process; where the kernel does not tell, it is as before. Not shown on a machine that goes: nothing here takes an address away, so that the users met this is not claimed. The new test failed before (there was nothing to ask).

--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from ivymux.data_plane.client_connection import ClientConnection, Exchange
-from ivymux.data_plane.closed_connections import ClosedConnections
+from ivymux.data_plane.closed_connections import ClosedConnections, unacknowledged_bytes
 from ivymux.data_plane.frontend import Answer, BadRequest, Frontend
 from ivymux.data_plane.limits import LISTEN_BACKLOG, Address, Bounds
 from ivymux.data_plane.receive_queue import ReceiveQueue
@@ -288,6 +288,17 @@
         """Whether any client has not yet read all of its answers, as far as they are in this process."""
         return any(client.unsent_bytes for client in self.clients)
 
+    def has_undelivered_answers(self) -> bool:
+        """Whether any client's machine has not received all of its answers yet.
+
+        What the kernel still holds is lost if this process's address goes with it.
+        """
+        return any(
+            client.unsent_bytes or unacknowledged_bytes(client.transport)
+            for client in self.clients
+            if client.transport is not None
+        )
+
     def pop_overdue(
         self, queue: OrderedDict[ClientConnection, None], timeout: float
     ) -> Iterator[ClientConnection]:
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -423,8 +423,8 @@
     # --- shutdown ------------------------------------------------------------------------------------------
 
     def has_unfinished_answers(self) -> bool:
-        """Whether clients still wait for answers, or read them."""
-        return bool(self.host.unanswered_count) or self.server.has_unsent_answers()
+        """Whether clients still wait for answers, or have not received them whole."""
+        return bool(self.host.unanswered_count) or self.server.has_undelivered_answers()
 
     async def stop(self) -> None:
         """Stop gracefully.
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -122,6 +122,28 @@
     run(test())
 
 
+# Guards against answers that are lost with a process whose machine goes with it.
+def test_answers_with_the_kernel_are_undelivered_until_the_clients_machine_has_them() -> None:
+    async def test() -> None:
+        async with long_answers() as server:
+            server.frontend = StatusPagesFrontend({b"/long": lambda: Answer(200, BODY[: 512 << 10])})
+            reader = SlowReader(server)
+            reader.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4 << 10)
+            await reader.ask(KEPT)
+            await until(lambda: server.clients)
+            (client,) = server.clients
+            assert client.transport is not None
+            raw = client.transport.get_extra_info("socket")
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 << 20)
+            await until(lambda: server.idle_clients and not client.unsent_bytes)
+            assert not server.has_unsent_answers() and server.has_undelivered_answers()
+            await reader.read(512 << 10)
+            await until(lambda: not server.has_undelivered_answers())
+            reader.socket.close()
+
+    run(test())
+
+
 def test_unsent_answers_are_known_until_they_are_read() -> None:
     async def test() -> None:
         async with long_answers() as server:
