Servers: a stop does not close a connection whose request waits for a turn

What callers saw: nothing was reported. Connections that sent no request before were spared already; idle ones now are too. The new test failed before.

--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -319,7 +319,7 @@
             self.loop.remove_reader(copy)
             copy.close()
         self.listener_copies = []
-        for client in [*self.idle_clients, *(c for c in self.new_clients if not c.has_begun)]:
+        for client in [c for c in (*self.idle_clients, *self.new_clients) if not c.has_begun]:
             self.close_client(client)
 
     def close_client(self, client: ClientConnection) -> None:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -122,6 +122,27 @@
     run(test())
 
 
+# Guards against requests that were read, and whose connection a stop closes as idle before their turn.
+def test_a_request_that_waits_for_its_turn_is_answered_by_a_stopping_server() -> None:
+    async def test() -> None:
+        async with long_answers() as server:
+            reader = SlowReader(server)
+            await reader.ask(KEPT.replace(b"/long", b"/short"))
+            await until(lambda: server.idle_clients)
+            (client,) = server.clients
+            await reader.read(1)
+            before = reader.read_bytes
+            client.window_start, client.window_bytes = server.loop.time(), 1 << 30
+            client.data_received(KEPT.replace(b"/long", b"/short"))
+            assert client.waiting and client in server.idle_clients
+            server.stop_listening()
+            await reader.read(1)
+            assert reader.read_bytes > before
+            reader.socket.close()
+
+    run(test())
+
+
 # Guards against answers that are lost with a process whose machine goes with it.
 def test_answers_with_the_kernel_are_undelivered_until_the_clients_machine_has_them() -> None:
     async def test() -> None:
