Proxies: a known key is answered by its record without a backend too

Cause: a claim is asked for as an attempt is sent, so a proxy that could choose no backend refused without a look at the record. A claim for each refusal would cost the core two commits; a look-up costs none. Now such a request asks the primary what is known of its key, for 0.3 s at the most, and is answered from the record, or refused as before. Not asked: for quotas, or where no core machine is connected. A state that is not on all disks yet is told as in progress.

--- a/ivymux/config_store/calls.py
+++ b/ivymux/config_store/calls.py
@@ -37,6 +37,14 @@
     lifetime_s: float = msgspec.field(name="life")
 
 
+class LookUpAction(Call, frozen=True, tag="look"):
+    """Return what is known of an action, without opening a record for it."""
+
+    key: str
+    request_digest: str = msgspec.field(name="place")
+    body_digest: str = msgspec.field(name="body")
+
+
 class EndAction(Call, frozen=True, tag="end"):
     """End an action's idempotency record; the answer is kept for repeats of the action."""
 
@@ -81,8 +89,17 @@
     counts: list[tuple[int, int]]  # shards and requests
 
 
-AnyCall = PutConfiguration | ClaimAction | EndAction | PutSetting | ReadSetting | ReportHoldings | ReportLoads
-TAGS = frozenset(("put", "claim", "end", "note", "read", "hold", "load"))
+AnyCall = (
+    PutConfiguration
+    | ClaimAction
+    | LookUpAction
+    | EndAction
+    | PutSetting
+    | ReadSetting
+    | ReportHoldings
+    | ReportLoads
+)
+TAGS = frozenset(("put", "claim", "look", "end", "note", "read", "hold", "load"))
 
 
 def encode(call: Call) -> dict[str, Any]:
--- a/ivymux/config_store/idempotency.py
+++ b/ivymux/config_store/idempotency.py
@@ -21,7 +21,7 @@
 from msgspec.structs import replace
 
 from ivymux.config_store.actions import Action, Complete, Persist, PublishSetting, Reply
-from ivymux.config_store.calls import Call, ClaimAction, EndAction, PutSetting, ReadSetting
+from ivymux.config_store.calls import Call, ClaimAction, EndAction, LookUpAction, PutSetting, ReadSetting
 from ivymux.config_store.messages import (
     RecordDigest,
     RecordRangeDigests,
@@ -157,6 +157,8 @@
             return None
         if isinstance(call, ClaimAction):
             return self.claim_action(call_id, call)
+        if isinstance(call, LookUpAction):
+            return self.look_up_action(call)
         if isinstance(call, EndAction):
             return self.end_action(call_id, call)
         if isinstance(call, PutSetting):
@@ -193,6 +195,13 @@
         self.replicate(record, call_id)
         return self.reply(verdict_answer(verdict), wait=True)
 
+    def look_up_action(self, call: LookUpAction) -> Reply:
+        """Answer with what is known of an action; nothing is written."""
+        verdict = self.store.look_up(call.key, call.request_digest, call.body_digest, self.replica.now)
+        if self.pending_for(call.key) is not None:
+            verdict = Verdict(IN_PROGRESS, PENDING_RETRY_AFTER_S)
+        return self.reply(verdict_answer(verdict))
+
     def end_action(self, call_id: int, call: EndAction) -> Reply:
         """End the record of an action with its outcome."""
         record = self.store.ended_record(call.key, call.claim, call.state, call.answer, self.limits)
--- a/ivymux/data_plane/frontend.py
+++ b/ivymux/data_plane/frontend.py
@@ -45,6 +45,12 @@
     def acquire(self, on_result: Callable[[Answer | None], None]) -> None:
         """Call `on_result` with None if the action may be sent, else with the answer to the request."""
 
+    def look_up(self, on_result: Callable[[Answer | None], None]) -> None:
+        """Call `on_result` with the answer to an action that may have run before, else with None.
+
+        Used in place of `acquire` for a request that is about to be refused.
+        """
+
     def finish(self, answer: Answer | None, ran: bool) -> None:
         """End the claim with the backend's answer, if any; `ran`: the action may have been executed."""
 
--- a/ivymux/data_plane/host.py
+++ b/ivymux/data_plane/host.py
@@ -341,23 +341,46 @@
     def refuse_or_fail(self, number: int, action: i.Refuse | i.Fail) -> None:
         """Refuse or fail a request.
 
-        If the last attempt ended with an error answer of its backend, the client gets that answer.
+        If the last attempt ended with an error answer of its backend, the client gets that answer.  An
+        action with a key that lacks a backend may have run before, and is then answered from its record.
         """
         request = self.requests.get(number)
-        if request is not None and not request.is_settled:
-            self.refusal_log.record(action.why.value if isinstance(action, i.Refuse) else FAILED)
-            last = request.last_result
-            if last is not None and last.outcome is Outcome.ERROR and last.status:
-                answer = last.backend_answer()
-            elif isinstance(action, i.Refuse):
-                outcome = last.outcome if last is not None and request.may_have_run else None
-                status = self.answer_policy.refusal_status(action.why is i.Why.QUOTA, outcome)
-                answer = Answer(status, retry_after=action.retry_after)
-            else:
-                answer = Answer(self.answer_policy.failure_status(last.outcome if last is not None else None))
+        if request is None or request.is_settled:
+            return
+        claim = request.call.claim
+        lacks_backend = isinstance(action, i.Refuse) and action.why in (i.Why.ROOM, i.Why.BACKENDS)
+        if claim is None or request.attempt_count or not lacks_backend:
+            self.settle_unserved(request, action)
+            return
+        request.is_on_hold = True
+        claim.look_up(lambda answer: self.on_looked_up(request, action, answer))
+
+    def on_looked_up(self, request: OpenRequest, action: i.Refuse | i.Fail, answer: Answer | None) -> None:
+        """Answer a request that lacks a backend from its action's record, or refuse it without one."""
+        request.is_on_hold = False
+        if request.is_settled:
+            self.forget_if_finished(request)
+        elif answer is None:
+            self.settle_unserved(request, action)
+        else:
             self.settle(request, answer)
             self.forget_if_finished(request)
 
+    def settle_unserved(self, request: OpenRequest, action: i.Refuse | i.Fail) -> None:
+        """Give the final answer to a request that no backend has answered."""
+        self.refusal_log.record(action.why.value if isinstance(action, i.Refuse) else FAILED)
+        last = request.last_result
+        if last is not None and last.outcome is Outcome.ERROR and last.status:
+            answer = last.backend_answer()
+        elif isinstance(action, i.Refuse):
+            outcome = last.outcome if last is not None and request.may_have_run else None
+            status = self.answer_policy.refusal_status(action.why is i.Why.QUOTA, outcome)
+            answer = Answer(status, retry_after=action.retry_after)
+        else:
+            answer = Answer(self.answer_policy.failure_status(last.outcome if last is not None else None))
+        self.settle(request, answer)
+        self.forget_if_finished(request)
+
     def settle(self, request: OpenRequest, answer: Answer | None) -> None:
         """Deliver a request's only answer; None if its client has disconnected."""
         request.is_settled, request.answer = True, answer
--- a/ivymux/idempotency/record_store.py
+++ b/ivymux/idempotency/record_store.py
@@ -32,6 +32,7 @@
 OUTCOME_UNKNOWN = "unknown"  # the action may have run; it must not be sent again
 MISMATCH = "differs"  # the key was used before with another request
 LIMIT_REACHED = "full"  # this tenant may have no further record
+NOT_KNOWN = "none"  # answer to a look-up: the action has not run, or is not known any more
 
 KEY_RANGES = 256  # by the first two digits of the key
 KEY_DIGITS = 32
@@ -267,13 +268,26 @@
             return Verdict(PROCEED)
         if held.claim == claimed.claim and held.state == OPEN:
             return Verdict(PROCEED)  # the claim is repeated, as the reply to it was lost
-        if held.request_digest != claimed.request_digest:
+        return self.judge_repeat(held, claimed.request_digest, claimed.body_digest, now)
+
+    def look_up(self, key: str, request_digest: str, body_digest: str, now: float) -> Verdict:
+        """Return the verdict on a repeat of an action; NOT_KNOWN if no record says that it may have run."""
+        held = self.records.get(key)
+        if held is None or held.state == FREE:
+            return Verdict(NOT_KNOWN)
+        return self.judge_repeat(held, request_digest, body_digest, now)
+
+    def judge_repeat(
+        self, held: IdempotencyRecord, request_digest: str, body_digest: str, now: float
+    ) -> Verdict:
+        """Decide on a request whose key has a record that another claim opened."""
+        if held.request_digest != request_digest:
             return Verdict(MISMATCH, mismatch="method or path")
-        if held.body_digest != claimed.body_digest:
+        if held.body_digest != body_digest:
             return Verdict(MISMATCH, mismatch="body")
         if held.state == DONE:
             return Verdict(ANSWERED, answer=held.answer)
-        remaining_s = self.received_at[claimed.key] + held.lifetime_s - now
+        remaining_s = self.received_at[held.key] + held.lifetime_s - now
         if held.state == LOST or remaining_s <= 0:
             return Verdict(OUTCOME_UNKNOWN)
         return Verdict(IN_PROGRESS, retry_after_s=min(remaining_s, MAX_RETRY_AFTER_S))
--- a/ivymux/proxy/action_claims.py
+++ b/ivymux/proxy/action_claims.py
@@ -9,9 +9,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from ivymux.config_store.calls import ClaimAction, EndAction, encode
+from ivymux.config_store.calls import ClaimAction, EndAction, LookUpAction, encode
 from ivymux.data_plane.frontend import Answer
-from ivymux.idempotency.record_store import DONE, FREE, LOST, PROCEED
+from ivymux.idempotency.record_store import DONE, FREE, LOST, NOT_KNOWN, PROCEED
 from ivymux.idempotency.settings import ConversationSettings
 from ivymux.proxy.keyed_actions import Action, answer_for_verdict, encode_answer
 from ivymux.transport.connection import Connector, TransportError
@@ -19,6 +19,7 @@
 
 ACQUIRE_TIMEOUT_S = 1.5  # long enough for a lost leader to be replaced
 ACQUIRE_TIME_PART = 0.5  # of the time that the client still waits, the most spent on acquiring
+LOOK_UP_TIMEOUT_S = 0.3  # a refusal waits for no longer
 END_TIMEOUT_S = 8.0
 CALL_TIMEOUT_S = 0.9  # for the answer of one core machine
 CALL_RETRY_PAUSE_S = 0.05
@@ -42,7 +43,8 @@
         self.settings = ConversationSettings()
         self.tasks: set[asyncio.Task[None]] = set()
         self.acquired = self.proceeded = self.failed = 0  # since the start; `acquired` counts attempts
-        self.logged_count = 0  # value of `acquired` at the last log line
+        self.looked_up = self.found = 0  # before a refusal, and of these those with a record
+        self.logged_count = 0  # claims and look-ups at the last log line
 
     def make_claim(self, action: Action, deadline: float, try_id: bytes) -> ActionClaim:
         return ActionClaim(
@@ -74,13 +76,15 @@
 
     def log_line(self) -> str:
         """Return a summary for the log; empty if there were no claims since the last summary."""
-        if self.acquired == self.logged_count:
+        count = self.acquired + self.looked_up
+        if count == self.logged_count:
             return ""
-        self.logged_count = self.acquired
+        self.logged_count = count
         answered = self.acquired - self.proceeded - self.failed
         return (
             f"actions with keys: {self.acquired} claimed, {self.proceeded} sent, {answered} answered without"
-            f" sending, {self.failed} could not be claimed"
+            f" sending, {self.failed} could not be claimed; {self.looked_up} looked up before a refusal,"
+            f" {self.found} found"
         )
 
     async def finish(self, timeout: float) -> None:
@@ -122,15 +126,7 @@
             round(left + LIFETIME_MARGIN_S, 3),
         )
         timeout = min(ACQUIRE_TIMEOUT_S, ACQUIRE_TIME_PART * left)
-        reply = await self.claims.call(encode(call), now + timeout)
-        try:
-            verdict = str(reply["verdict"]) if reply is not None else ""
-            if reply is not None and verdict != PROCEED:
-                answer = answer_for_verdict(
-                    verdict, float(reply["after"]), str(reply["answer"]), str(reply["what"]), self.try_id
-                )
-        except (KeyError, TypeError, ValueError):  # malformed reply
-            verdict = ""
+        verdict, answer = self.read_reply(await self.claims.call(encode(call), now + timeout))
         if verdict == PROCEED:
             self.claims.proceeded += 1
             on_result(None)
@@ -142,6 +138,36 @@
             self.is_open = False
             on_result(answer)
 
+    def read_reply(self, reply: Message | None) -> tuple[str, Answer | None]:
+        """Return a reply's verdict, empty without a valid one, and the answer for a known action."""
+        if reply is None:
+            return "", None
+        try:
+            verdict = str(reply["verdict"])
+            if verdict in (PROCEED, NOT_KNOWN):
+                return verdict, None
+            return verdict, answer_for_verdict(
+                verdict, float(reply["after"]), str(reply["answer"]), str(reply["what"]), self.try_id
+            )
+        except (KeyError, TypeError, ValueError):
+            return "", None
+
+    def look_up(self, on_result: ResultCallback) -> None:
+        """Call `on_result` with the answer to an action that may have run, with None if none is known."""
+        if len(self.claims.tasks) >= MAX_TASKS or not self.claims.cores():
+            on_result(None)
+            return
+        self.claims.looked_up += 1
+        self.claims.spawn(self.look_up_at_core(on_result))
+
+    async def look_up_at_core(self, on_result: ResultCallback) -> None:
+        now, action = time.monotonic(), self.action
+        call = LookUpAction(action.key, action.request_digest, action.body_digest)
+        timeout = min(LOOK_UP_TIMEOUT_S, ACQUIRE_TIME_PART * (self.deadline - now))
+        _, answer = self.read_reply(await self.claims.call(encode(call), now + timeout))
+        self.claims.found += answer is not None
+        on_result(answer)
+
     def finish(self, answer: Answer | None, ran: bool) -> None:
         """End the claim: with a backend's answer, without one, or (not `ran`) as never sent."""
         if not self.is_open:
--- a/ivymux/registry/message_kinds.py
+++ b/ivymux/registry/message_kinds.py
@@ -17,7 +17,7 @@
 CONFIG_REQUEST = "want"
 FAILURE_REPORT = "doubt"  # l: ids of backends and failures
 TRIAL_REPORT = "trial"  # v: version of the trials, c: counts by trial, o: counts of requests under no trial
-FORWARDED = ("claim", "end")  # calls that the config store answers (see config_store/calls.py)
+FORWARDED = ("claim", "look", "end")  # calls that the config store answers (see config_store/calls.py)
 
 # To a proxy.  The snapshot has run: the registry's incarnation, n: its last change, i: backends, whole:
 # whether these are all, doors: proxies, cores, t: system time, v: version of the configuration, zone.
--- a/tests/config_store/test_idempotency_records.py
+++ b/tests/config_store/test_idempotency_records.py
@@ -7,7 +7,16 @@
 import pytest
 
 from ivymux.config_store.actions import Reply
-from ivymux.config_store.calls import Call, CallError, ClaimAction, EndAction, PutSetting, ReadSetting, decode
+from ivymux.config_store.calls import (
+    Call,
+    CallError,
+    ClaimAction,
+    EndAction,
+    LookUpAction,
+    PutSetting,
+    ReadSetting,
+    decode,
+)
 from ivymux.config_store.idempotency import RecordReplication
 from ivymux.config_store.messages import (
     RecordDigest,
@@ -68,6 +77,39 @@
     return seen
 
 
+def look_up(key: int, body: str = "body") -> LookUpAction:
+    return LookUpAction(f"{key:032x}", "place", body)
+
+
+def test_a_look_up_tells_what_became_of_an_action_and_opens_no_record() -> None:
+    cluster = started_cluster(3)
+    primary, _ = primary_and_backup(cluster)
+    assert call_primary(cluster, look_up(1))["verdict"] == "none"
+    assert not record_store(cluster, primary).records
+    assert call_primary(cluster, claim(1))["verdict"] == "go"
+    assert call_primary(cluster, look_up(1))["verdict"] == "in hand"
+    assert call_primary(cluster, look_up(1, "other"))["verdict"] == "differs"
+    call_primary(cluster, EndAction(f"{1:032x}", "door/1", "done", "kept"))
+    known = call_primary(cluster, look_up(1))
+    assert (known["verdict"], known["answer"]) == ("answered", "kept")
+    call_primary(cluster, claim(2))
+    call_primary(cluster, EndAction(f"{2:032x}", "door/1", "free"))
+    assert call_primary(cluster, look_up(2))["verdict"] == "none"
+    call_primary(cluster, claim(3))
+    cluster.run_for(4.1)  # longer than its claim may end it
+    assert call_primary(cluster, look_up(3))["verdict"] == "unknown"
+
+
+def test_a_look_up_does_not_tell_what_is_not_on_both_disks_yet() -> None:
+    cluster = started_cluster(3)
+    primary, _ = primary_and_backup(cluster)
+    answers: list[Answer] = []
+    call_primary(cluster, claim(1))
+    cluster.call(primary, EndAction(f"{1:032x}", "door/1", "done", "kept"), answers.append)
+    cluster.call(primary, look_up(1), answers.append)
+    assert [answer["verdict"] for answer in answers] == ["in hand"]
+
+
 def test_a_claim_is_on_both_disks_before_it_is_answered() -> None:
     cluster = started_cluster(3)
     primary, backup = primary_and_backup(cluster)
--- a/tests/proxy/test_claimed.py
+++ b/tests/proxy/test_claimed.py
@@ -23,11 +23,15 @@
 
     def __init__(self) -> None:
         self.on_result: Callable[[Answer | None], None] | None = None
+        self.on_looked_up: Callable[[Answer | None], None] | None = None
         self.ends: list[tuple[int | None, bool]] = []
 
     def acquire(self, on_result: Callable[[Answer | None], None]) -> None:
         self.on_result = on_result
 
+    def look_up(self, on_result: Callable[[Answer | None], None]) -> None:
+        self.on_looked_up = on_result
+
     def finish(self, answer: Answer | None, ran: bool) -> None:
         self.ends.append((answer.status if answer is not None else None, ran))
 
@@ -35,7 +39,9 @@
 class HostHarness:
     """A host whose decision module sends each request to backend 1, and whose results the test delivers."""
 
-    def __init__(self, timeout: float = 5.0) -> None:
+    def __init__(self, timeout: float = 5.0, refusal: i.Why | None = None) -> None:
+        """`refusal`: why the decision module refuses each request instead."""
+        self.refusal = refusal
         self.events: list[i.Event] = []
         self.sent: list[Callable[[Result], None]] = []
         module = SimpleNamespace(settings=module_settings(), actions=[], handle=self.handle)
@@ -58,7 +64,11 @@
 
     def handle(self, now: float, event: i.Event) -> list[i.Action]:
         self.events.append(event)
-        return [i.Send(event.request, 1, 0.0)] if isinstance(event, i.Request) else []
+        if not isinstance(event, i.Request):
+            return []
+        if self.refusal is not None:
+            return [i.Refuse(event.request, 0.2, self.refusal)]
+        return [i.Send(event.request, 1, 0.0)]
 
     def start(self, backend: int, payload: bytes, timeout: float, done: Any, *rest: Any) -> Any:
         self.sent.append(done)
@@ -136,3 +146,36 @@
         assert not harness.host.requests and harness.claim.ends == [(None, False)]
 
     asyncio.run(scenario())
+
+
+# Guards against known keys that get 503 where their service has no backend just now.
+def test_an_action_that_lacks_a_backend_is_answered_from_its_record() -> None:
+    async def scenario() -> None:
+        for why in (i.Why.ROOM, i.Why.BACKENDS):
+            known, unknown, left, late = (HostHarness(refusal=why, timeout=5.0) for _ in range(4))
+            for harness in (known, unknown, left, late):
+                assert not harness.answers and harness.claim.on_looked_up is not None
+                assert harness.claim.on_result is None and not harness.sent
+            assert known.claim.on_looked_up is not None and unknown.claim.on_looked_up is not None
+            known.claim.on_looked_up(Answer(201, headers=[]))
+            unknown.claim.on_looked_up(None)
+            assert (known.answers, unknown.answers) == ([201], [503])
+            assert known.host.refusal_log.refusals.count_unserved() == 0
+            assert unknown.host.refusal_log.refusals.count_unserved() == 1
+            left.host.on_client_left(left.request)
+            late.host.on_deadline(late.request)
+            for harness in (left, late):
+                assert harness.claim.on_looked_up is not None
+                harness.claim.on_looked_up(Answer(201, headers=[]))
+            assert (left.answers, late.answers) == ([], [503])
+            assert not any(h.host.requests for h in (known, unknown, left, late))
+
+    asyncio.run(scenario())
+
+
+def test_an_action_beyond_its_quota_is_refused_without_a_look_at_its_record() -> None:
+    async def scenario() -> None:
+        harness = HostHarness(refusal=i.Why.QUOTA)
+        assert harness.answers == [429] and harness.claim.on_looked_up is None
+
+    asyncio.run(scenario())
--- a/tests/system/test_conversations.py
+++ b/tests/system/test_conversations.py
@@ -153,6 +153,29 @@
     asyncio.run(scenario())
 
 
+# Guards against known keys that get 503 after a loss of all processes, until backends have called again.
+def test_a_known_key_is_answered_by_its_record_while_its_service_has_no_backend(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with local_cluster(tmp_path) as cluster:
+            (desk,) = await start_backends(cluster, "i-desk")
+            first = await try_action(cluster, 0, '"known"')
+            assert first.startswith("200") and (await try_until_ended(cluster, 0, '"known"')) != first
+            cluster.heartbeat_tasks.pop(desk.instance).cancel()
+            for ip in (*cluster.core_ips, *cluster.proxy_ips):
+                await cluster.kill(ip)
+            for ip in (*cluster.core_ips, *cluster.proxy_ips):
+                await cluster.start(ip)
+            for ip in cluster.proxy_ips:
+                await cluster.wait_until_served(ip)
+            for proxy in range(2):
+                assert await try_action(cluster, proxy, '"known"') == first.replace("200", "200 (kept)", 1)
+                assert (await try_action(cluster, proxy, '"new"')).startswith("503 come back")
+                assert (await try_action(cluster, proxy, '"known"', body=b"no")).startswith("422")
+            assert len(desk.executed) == 1
+
+    asyncio.run(scenario())
+
+
 def test_a_conversation_stays_with_its_backend_at_every_proxy(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with local_cluster(tmp_path) as cluster:
