--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -41,6 +41,7 @@
     TransportError,
     max_connections,
     max_partial_bytes,
+    max_unread_bytes,
 )
 from ivymux.transport.frames import Message
 
@@ -92,6 +93,7 @@
             on_disconnect=self.on_disconnect,
             max_connections=max_connections(settings.fd_limit),
             max_partial_bytes=max_partial_bytes(settings.memory_mb),
+            max_unread_bytes=max_unread_bytes(settings.memory_mb),
         )
         self.registries: set[Connection] = set()  # that receive updates
         self.calls: dict[int, asyncio.Future[None]] = {}  # waiting for all disks of the epoch, by id
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -36,7 +36,13 @@
 from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
-from ivymux.transport.connection import Connector, Listener, max_connections, max_partial_bytes
+from ivymux.transport.connection import (
+    Connector,
+    Listener,
+    max_connections,
+    max_partial_bytes,
+    max_unread_bytes,
+)
 from ivymux.transport.frames import Message
 from orchidhill import interface as i
 from orchidhill.proxy_gateway import ProxyGateway, ProxyRules
@@ -148,6 +154,7 @@
             self.counter.on_caller_message,
             max_connections=max_callers,
             max_partial_bytes=max_partial_bytes(settings.memory_mb),
+            max_unread_bytes=max_unread_bytes(settings.memory_mb),
         )
         self.cores: dict[str, CoreConnection] = {}
         self.config_version, self.first_applied_at = -1, 0.0
--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -49,6 +49,7 @@
     Listener,
     TransportError,
     max_partial_bytes,
+    max_unread_bytes,
 )
 from ivymux.transport.frames import Message, encode_frame
 from ivymux.transport.http_calls import (
@@ -136,6 +137,7 @@
             on_disconnect=self.on_disconnect,
             max_connections=max_proxies,
             max_partial_bytes=max_partial_bytes(settings.memory_mb),
+            max_unread_bytes=max_unread_bytes(settings.memory_mb),
         )
         self.config_store = Connector(
             Address(settings.ip, settings.config_store_port),
--- a/ivymux/transport/connection.py
+++ b/ivymux/transport/connection.py
@@ -17,6 +17,7 @@
 from ivymux.runtime.log import Log
 from ivymux.transport.frames import FrameDecoder, FrameError, FrameTooLargeError, Message, encode_frame
 from ivymux.transport.partial_frames import PartialFrames
+from ivymux.transport.unread_messages import UnreadMessages
 
 CONNECT_TIMEOUT_S = 0.8
 PING_INTERVAL_S = 0.7  # a ping is sent after this long without any other message
@@ -32,6 +33,8 @@
 CONNECTION_FD_SHARE = 1 / 4  # of a process's descriptors, for the connections of one listener
 PARTIAL_MEMORY_SHARE = 1 / 8  # of a process's memory, for messages that have not arrived whole
 MAX_PARTIAL_BYTES = 32 << 20  # of these, where the memory is not known
+UNREAD_MEMORY_SHARE = 1 / 6  # of a process's memory, for messages that peers have not read
+MAX_UNREAD_BYTES = 48 << 20  # of these, where the memory is not known
 MAX_DIRECT_MESSAGES = 64  # of one connection that are handled as they arrive; further ones wait for its turn
 MESSAGES_PER_TURN = 16
 PING_TOLERANCE = 0.95  # share of PING_INTERVAL_S, so that a check slightly early still sends its ping
@@ -73,6 +76,11 @@
     return int(PARTIAL_MEMORY_SHARE * memory_mb * (1 << 20))
 
 
+def max_unread_bytes(memory_mb: float) -> int:
+    """Return how many bytes of messages a process with this much memory keeps for peers that do not read."""
+    return int(UNREAD_MEMORY_SHARE * memory_mb * (1 << 20))
+
+
 def max_connections(fd_limit: int) -> int:
     """Return how many connections of one listener a process with so many descriptors takes."""
     return min(MAX_CONNECTIONS, int(CONNECTION_FD_SHARE * fd_limit))
@@ -103,6 +111,7 @@
         self.receive_queue: ReceiveQueue | None = None  # for turns with other connections, if it is to wait
         self.has_turn = False  # whether it is in that queue
         self.partial_frames: PartialFrames | None = None  # of all connections of its listener
+        self.unread_messages: UnreadMessages | None = None  # likewise
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -178,6 +187,11 @@
                 victim.abort()
         return self.is_connected
 
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of messages that are not with the kernel yet."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
     def has_received_since(self, since: float) -> bool:
         """Whether the connection is open and something has arrived on it after the steady time `since`."""
         return self.is_connected and self.has_received and self.last_received_at > since
@@ -205,6 +219,11 @@
         except RuntimeError:
             # The event loop closed the transport without notice: the connect was cancelled while completing.
             self.abort()
+            return
+        if self.unread_messages is not None:
+            victim = self.unread_messages.add(self, data)
+            if isinstance(victim, Connection):
+                victim.abort()
 
     async def call(self, message: Message, timeout: float) -> Message:
         """Send a message and return its answer, for which it waits at most `timeout` seconds.
@@ -253,6 +272,8 @@
         self.frame_decoder.buffer.clear()
         if self.partial_frames is not None:
             self.partial_frames.forget(self)
+        if self.unread_messages is not None:
+            self.unread_messages.forget(self)
         if self.liveness_timer is not None:
             self.liveness_timer.cancel()
         for pending in self.pending_calls.values():
@@ -361,15 +382,18 @@
         on_disconnect: Callable[[Connection], None] | None = None,
         max_connections: int = MAX_CONNECTIONS,
         max_partial_bytes: int = MAX_PARTIAL_BYTES,
+        max_unread_bytes: int = MAX_UNREAD_BYTES,
     ) -> None:
         """Connections over `max_connections` are aborted as soon as they are accepted.
 
-        `max_partial_bytes`: of messages that have not arrived whole, on all connections.
+        `max_partial_bytes`: of messages that have not arrived whole, on all connections; `max_unread_bytes`:
+        of those that peers have not read.
         """
         self.on_message, self.on_connect, self.on_disconnect = on_message, on_connect, on_disconnect
         self.max_connections = max_connections
         self.connections: set[Connection] = set()
         self.partial_frames = PartialFrames(max_partial_bytes)
+        self.unread_messages = UnreadMessages(max_unread_bytes)
         self.receive_queue: ReceiveQueue | None = None  # from the start on
         self.server: asyncio.Server | None = None
 
@@ -385,6 +409,7 @@
     def create_protocol(self) -> Connection:
         connection = Connection(self.on_message, self.add_connection, self.remove_connection)
         connection.receive_queue, connection.partial_frames = self.receive_queue, self.partial_frames
+        connection.unread_messages = self.unread_messages
         return connection
 
     def add_connection(self, connection: Connection) -> None:
--- a/tests/system/test_misbehaving_clients.py
+++ b/tests/system/test_misbehaving_clients.py
@@ -26,6 +26,7 @@
 )
 from ivymux.simulation.misbehaving_clients import Crowd, Misbehaviour
 from ivymux.simulation.process_monitor import peak_memory_mb
+from ivymux.transport.frames import encode_frame
 
 pytestmark = pytest.mark.alone
 
@@ -342,3 +343,41 @@
             check_processes(cluster, HONEST_MEMORY_MB)
 
     asyncio.run(scenario())
+
+
+READ_CONFIGURATION = {"k": "get", "n": 1, "passed": True}  # a call to the primary config store
+UNREAD_CALLS_EACH = 40  # whose answers one connection may leave unread
+LONG_CONFIGURATION_ROUTES = 1500  # some 350 kB
+
+
+async def call_and_read_nothing(address: tuple[str, int]) -> asyncio.StreamWriter:
+    """Send calls and read none of the answers; return the open connection."""
+    reader, writer = await asyncio.open_connection(*address)
+    writer.write(encode_frame(READ_CONFIGURATION) * UNREAD_CALLS_EACH)
+    with contextlib.suppress(OSError):
+        await reader.read(1)
+    return writer
+
+
+# Answers to peers that do not read were bounded for each connection, not for all together.
+def test_answers_that_peers_do_not_read_stay_within_the_memory(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with small_cluster(tmp_path) as cluster:
+            configuration = build_configuration(2)
+            route = configuration["route_table"][0]
+            for number in range(LONG_CONFIGURATION_ROUTES):
+                more = {"name": f"more-{number}", "path_prefix": f"/more-{number}/"}
+                configuration["route_table"].append(route | more)
+            status, _ = await cluster.put_configuration(configuration)
+            assert status == 200
+            address = cluster.primary_ip(), CONFIG_STORE_PORT
+            writers = await asyncio.gather(*(call_and_read_nothing(address) for _ in range(CROWD_SIZE)))
+            check_processes(cluster)
+            for writer in writers:
+                writer.transport.abort()
+            status, _ = await cluster.put_configuration(build_configuration(3))
+            assert status == 200
+            await cluster.wait_until_served(cluster.proxy_ips[0])
+            check_processes(cluster)
+
+    asyncio.run(scenario())
--- a/tests/test_project.py
+++ b/tests/test_project.py
@@ -103,6 +103,7 @@
     "ivymux.json_values",
     "ivymux.data_plane.body_buffer",
     "ivymux.transport.partial_frames",
+    "ivymux.transport.unread_messages",
     "ivymux.simulation.event_queue",
     "ivymux.simulation.core_cluster",
     "ivymux.simulation.loss_scenarios",
