Rules: a version that was not sent yet explains no run

Traced by its record: changes move reads from one service to the other and back; a request that was accepted under the old version ran a second time there, after one under the new version had run. The checker looked for any version, also of changes to come, that names that service, took the latest of them as in force, and counted all later requests as a return. A run is now explained only by versions sent before it, which leaves fewer excuses, not more.

--- a/ivymux/simulation/rules/configuration.py
+++ b/ivymux/simulation/rules/configuration.py
@@ -49,7 +49,11 @@
             if (current := sum(at <= sent_at for at in restarts)) != incarnation:
                 incarnation, newest = current, -1
             route = run.target.split("/")[1]
-            naming = [c.version for c in history.changes if c.routes.get(route) == run.service]
+            naming = [
+                change.version
+                for change in history.changes
+                if change.routes.get(route) == run.service and change.at <= run.at
+            ]
             not_older = [version for version in naming if version >= newest]
             if not not_older:
                 if naming and sent_at > observed_at + REVERT_SLACK_S:
--- a/tests/simulation/test_rules.py
+++ b/tests/simulation/test_rules.py
@@ -337,3 +337,19 @@
     assert find_rules(events, observations[:2]) == []
     restart: list[Event] = [KillMachine(21.5, "door-0"), StartMachine(21.6, "door-0")]
     assert find_rules([*events, *restart], observations) == []
+
+
+def test_a_copy_under_an_older_version_is_not_taken_for_a_version_that_was_not_sent_yet() -> None:
+    requests = [ClientRequest(at, f"r{n}", 0, f"/read/{n}") for n, at in enumerate((2.9, 3.2, 5.0))]
+    later = ConfigurationChange(20.0, 0, 9, {"read": "archive", "sign": "desk"})
+    runs = [
+        make_run(requests[0], 2.95, "archive", "archive-0"),
+        make_run(requests[1], 3.3, "desk", "desk-0"),
+        make_run(requests[0], 3.6, "archive", "archive-1"),
+        make_run(requests[2], 5.1, "desk", "desk-1"),
+    ]
+    events: list[Event] = [*CHANGES, later, *requests]
+    observations: list[Observation] = [ChangeAnswer(0.0, 0.0, 1, 200), ChangeAnswer(3.1, 3.0, 4, 200), *runs]
+    assert ("CONFIG", "r2") not in find_breaches(observations, events)
+    returned = make_run(requests[2], 5.1, "archive", "archive-1")
+    assert ("CONFIG", "r2") in find_breaches([*observations[:-1], returned], events)
