Decision module: a proxy's backends and their choice have a module

proxy_gateway.py had grown to 555 lines with admission, backends, attempts and the timer in one class. The backends, their services, ejections and the choice of the next one are `ProxyBackends` in proxy_backends.py, which gets the time passed in; proxy_gateway.py has 433 lines left.

--- a/bench/servers.py
+++ b/bench/servers.py
@@ -15,7 +15,7 @@
 from bench.common import argument_parser, summarize, write_report
 from ivymux.simulation.backend_selection import BackendSelectionSimulation, ServiceLoad
 from ivymux.simulation.event_queue import START_TIME
-from orchidhill import proxy_gateway
+from orchidhill import proxy_backends
 
 PROXY_COUNTS = (11, 85, 300, 1000)
 SERVICE_LOADS = [
@@ -30,16 +30,16 @@
 
 def run_simulation(proxies: int, seed: int, variant: str) -> BackendSelectionSimulation:
     """Runs the simulation with one of VARIANTS, and failures of some backends in FAILING_S."""
-    rotation_s, proxy_gateway.ROTATION_S = (
-        proxy_gateway.ROTATION_S,
-        proxy_gateway.ROTATION_S if variant != VARIANTS[1] else 0.0,
+    rotation_s, proxy_backends.ROTATION_S = (
+        proxy_backends.ROTATION_S,
+        proxy_backends.ROTATION_S if variant != VARIANTS[1] else 0.0,
     )
     try:
         simulation = BackendSelectionSimulation(
             proxies, SERVICE_LOADS, seed, shares_failures=variant != VARIANTS[2]
         )
     finally:
-        proxy_gateway.ROTATION_S = rotation_s
+        proxy_backends.ROTATION_S = rotation_s
 
     def fail() -> None:
         for backend in simulation.backends[::16]:
--- a/ivymux/proxy/member_entries.py
+++ b/ivymux/proxy/member_entries.py
@@ -10,7 +10,7 @@
 from ivymux.proxy.name_tables import NameTables
 from orchidhill import interface as i
 from orchidhill.interface import State
-from orchidhill.proxy_gateway import SILENT
+from orchidhill.proxy_backends import SILENT
 
 WARM_UP_S = 3.0  # for which a backend is slow after its start
 
--- a/ivymux/simulation/membership_model.py
+++ b/ivymux/simulation/membership_model.py
@@ -114,11 +114,14 @@
         """Return in which way this proxy's backends differ from those that serve."""
         found = [fault for life in lives if (fault := self.fault_of(life))]
         serving = {life.id for life in lives}
-        for number, backend in self.module.backends.items():
+        for number, backend in self.module.backends.by_id.items():
             known = self.view.by_number.get(number)
             if known is None:
                 found.append(f"the decision module still has backend {number}")
-            elif backend in self.module.service(backend.entry.service).backends and known.id not in serving:
+            elif (
+                backend in self.module.backends.service(backend.entry.service).backends
+                and known.id not in serving
+            ):
                 found.append(f"{known.id} has crashed and is ready")
         forgotten = {*self.upstream.pools, *self.upstream.superseded} - set(self.view.by_number)
         return [*found, *(f"the connections still have backend {number}" for number in forgotten)]
@@ -130,8 +133,8 @@
             return ""
         if known is None:
             return f"{life.id} is unknown"
-        backend = self.module.backends.get(known.number)
-        if backend not in self.module.service(self.tables.service_number(life.service)).backends:
+        backend = self.module.backends.by_id.get(known.number)
+        if backend not in self.module.backends.service(self.tables.service_number(life.service)).backends:
             return f"{life.id} is not ready but {known.state}"
         pool = self.upstream.pools.get(known.number)
         if pool is None or pool.address != parse_address(life.address):
--- a/orchidhill/proxy_gateway.py
+++ b/orchidhill/proxy_gateway.py
@@ -8,27 +8,23 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from orchidhill import interface as i
 from orchidhill.admission import EPSILON, MARGIN_S, SCAN_TICKS, TICK_S, Admission, stable_hash
 from orchidhill.interface import Effect, Outcome, State, Why
-from orchidhill.state import Backend, Call, Job, Lease
+from orchidhill.proxy_backends import MIN_SILENCE_S, SILENT_FACTOR, ProxyBackend, ProxyBackends
+from orchidhill.state import Call, Job, Lease
 
 INITIAL_LATENCY_SHARE = 0.3  # of a class's target latency, the estimate before its first answer
 MAX_INITIAL_LATENCY_S = 1.0  # upper bound of that estimate
 INITIAL_ANSWER_COUNT = 4  # weight of that estimate, in answers
 LATENCY_WEIGHT = 0.1  # weight of the newest latency in the mean
-QUEUE_DEPTH = 4.0  # times a backend's slots, the maximum of this proxy's attempts in flight there
 RETRY_BUDGET_SHARE = 0.6  # part of the operators' retry ratio that is used
-INITIAL_RETRY_TOKENS = 1.0  # per service
 MAX_RETRY_TOKENS = 2.0  # per service; keeps all proxies together within the operators' slack
-SILENT = 1  # `Entry.kind` of a draining backend that is not leaving, but sends no heartbeats
 EJECT_S = 0.6  # for which an unreachable backend is ejected; doubles with each further failure in a row
 MAX_EJECT_S = 5.0
-SILENT_FACTOR = 5.0  # times its class's latency without an answer after which a backend counts as silent
 LOST_FACTOR = 8.0  # times its class's latency after which a safe request also goes to another backend
-MIN_SILENCE_S = 0.4  # lower bound of the silence that counts
 RETRY_AFTER_SHARE = 0.25  # of the target latency: the retry-after of a refusal for lack of backends
 # Parts of the units that the quota rule allows beyond a quota (`excess_allowance`):
 LOSS_ALLOWANCE = 0.7  # granted again after a loss of totals
@@ -37,32 +33,6 @@
 RETRY_RATE_SHARE = 0.5  # of a tenant's rate, over which the retries of refused requests are spread
 FLOOD_S = 4.0  # a tenant with retries scheduled this far ahead counts as far beyond its quota
 MAX_RETRY_DELAY_SHARE = 0.3  # of a request's remaining time, of which clients wait a third at most
-HOME_FACTOR = 3.0  # times the usual latency and the best backend's queue up to which a home backend is used
-OTHER_ZONE_FACTOR = 1.2  # on the score of a backend in another zone, as traffic between zones costs more
-ROTATION_S = 40.0  # since a backend's last attempt, beyond which its idle time no longer improves its score
-ROTATION_BONUS_PER_S = 3e-4  # part of the score that is deducted for each second of idle time
-WARM_UP_S = 3.0  # after a backend's start
-WARM_UP_FACTOR = 2.0  # on the latency of a backend in its warm-up
-
-
-@dataclass(slots=True)
-class ProxyBackend(Backend):
-    """A backend as this proxy sees it."""
-
-    relative_latency: float = 1.0  # over its class's usual latency
-    last_sent_at: float = 0.0  # when the last attempt was sent
-    failures: int = 0  # in a row
-    ejected_until: float = 0.0
-    is_reported: bool = False  # whether the ejection is due to several proxies' reports
-
-
-@dataclass(slots=True)
-class Service:
-    """The backends of one service and its retry budget."""
-
-    backends: list[ProxyBackend] = field(default_factory=list)  # ready
-    silent: list[ProxyBackend] = field(default_factory=list)  # without recent heartbeats at the registry
-    retry_tokens: float = INITIAL_RETRY_TOKENS
 
 
 @dataclass(slots=True)
@@ -97,8 +67,7 @@
         super().__init__(settings, seed)
         self.rules = rules
         self.instance_hash = stable_hash(seed)  # differs between proxies
-        self.backends: dict[int, ProxyBackend] = {}
-        self.services: dict[int, Service] = {}
+        self.backends = ProxyBackends(self.instance_hash)
         self.class_latency = [initial_latency(cls) for cls in settings.classes]
         self.answer_counts = [INITIAL_ANSWER_COUNT] * len(self.class_latency)  # by class
         self.timer_due = -math.inf
@@ -179,42 +148,10 @@
             lease.is_wide = not lease.for_slots and lease.width > lease.capacity
 
     def on_members(self, event: i.Members) -> None:
-        is_complete = event.listing in (i.Listing.CACHED, i.Listing.FULL)
-        if is_complete:
-            for known in self.backends.values():
-                known.state = State.GONE
-        for entry in event.entries:
-            found = self.backends.get(entry.backend)
-            if found is None:
-                found = self.backends[entry.backend] = ProxyBackend(entry, answered_at=self.now)
-                # The time of the last attempt is pseudo-random, different at each proxy: else new proxies
-                # would all choose the same backend first, then all choose the next one.
-                found.last_sent_at = (
-                    self.now - ROTATION_S * stable_hash(entry.backend, self.instance_hash) / 2**64
-                )
-            found.entry, found.state = entry, entry.state
-        for gone in [id for id, b in self.backends.items() if b.state is State.GONE and not b.in_flight]:
-            del self.backends[gone]
-        for service in self.services.values():
-            service.backends, service.silent = [], []
-        for backend in self.backends.values():
-            if backend.state is State.READY:
-                self.service(backend.entry.service).backends.append(backend)
-            elif backend.entry.kind == SILENT and backend.state is State.DRAINING:
-                self.service(backend.entry.service).silent.append(backend)
+        self.backends.update(self.now, event)
 
     def on_eject(self, event: i.Shun) -> None:
-        """Eject a backend that several proxies reported: this proxy sends too few requests to notice soon."""
-        if (backend := self.backends.get(event.backend)) is not None:
-            backend.ejected_until = max(backend.ejected_until, self.now + event.seconds)
-            backend.is_reported = True
-
-    def service(self, number: int) -> Service:
-        """Return the service with a number, created on first use."""
-        found = self.services.get(number)
-        if found is None:
-            found = self.services[number] = Service()
-        return found
+        self.backends.eject(self.now, event)
 
     # --- admission and quotas ---------------------------------------------------------------------
 
@@ -297,77 +234,11 @@
         rules = self.rules
         return rules.quota_excess * (rules.quota_window * plan.rate + plan.burst) + rules.quota_slack
 
-    # --- backends ---------------------------------------------------------------------------------
+    # --- attempts and final answers ---------------------------------------------------------------
 
     def choose_backend(self, job: Job) -> ProxyBackend | None:
-        """Return the untried backend expected to answer first; an ejected one if no other backend is left."""
-        if job.req.is_home_only:
-            return self.only_backend(job)
-        best, best_score, ejected, ejected_score = None, math.inf, None, math.inf
-        usual_latency = self.class_latency[job.req.cls]
-        service = self.service(job.req.service)
-        # If all backends are silent, the registry most likely misses their heartbeats.
-        for backend in service.backends or service.silent:
-            if backend.entry.backend in job.tried:
-                continue
-            in_flight = len(backend.in_flight)
-            slots = max(1.0, backend.entry.weight)
-            if in_flight >= QUEUE_DEPTH * slots:
-                continue
-            score = self.expected_latency(backend, usual_latency) * (1 + in_flight / slots)
-            if backend.entry.zone:
-                score *= OTHER_ZONE_FACTOR
-            if self.now < backend.ejected_until:
-                if score < ejected_score:
-                    ejected, ejected_score = backend, score
-                continue
-            # Prefers the backend that has been idle longest.
-            score *= 1 + ROTATION_BONUS_PER_S * max(-ROTATION_S, backend.last_sent_at - self.now)
-            if score < best_score:
-                best, best_score = backend, score
-        if job.req.home and (home := self.home_backend(job, usual_latency, best)) is not None:
-            return home
-        return best if best is not None else ejected
-
-    def only_backend(self, job: Job) -> ProxyBackend | None:
-        """Return the one backend that may run the job, if it takes requests and has not been tried."""
-        backend = self.backends.get(job.req.home)
-        if backend is None or job.req.home in job.tried or self.now < backend.ejected_until:
-            return None
-        is_silent = backend.entry.kind == SILENT and backend.state is State.DRAINING
-        has_room = len(backend.in_flight) < QUEUE_DEPTH * max(1.0, backend.entry.weight)
-        return backend if has_room and (backend.state is State.READY or is_silent) else None
-
-    def home_backend(self, job: Job, usual_latency: float, best: ProxyBackend | None) -> ProxyBackend | None:
-        """Return the home backend of the job's conversation if it is ready and not much worse than others.
-
-        The home backend's latency is compared with the class's usual latency, not with the best backend's,
-        which may be known less well.
-        """
-        home = self.backends.get(job.req.home)
-        if home is None or home.state is not State.READY or home.entry.service != job.req.service:
-            return None
-        if home.entry.backend in job.tried or self.now < home.ejected_until:
-            return None
-        queue = len(home.in_flight) / max(1.0, home.entry.weight)
-        best_queue = len(best.in_flight) / max(1.0, best.entry.weight) if best is not None else queue
-        is_fast = self.expected_latency(home, usual_latency) <= HOME_FACTOR
-        return (
-            home if is_fast and 1 + queue <= HOME_FACTOR * (1 + best_queue) and queue < QUEUE_DEPTH else None
-        )
-
-    def expected_latency(self, backend: ProxyBackend, usual_latency: float) -> float:
-        """Return a backend's relative latency, which grows while it is silent with attempts in flight."""
-        latency = backend.relative_latency
-        if self.now < backend.entry.started + WARM_UP_S:
-            latency *= WARM_UP_FACTOR
-        if backend.in_flight:
-            silence = self.now - max(next(iter(backend.in_flight.values())), backend.answered_at)
-            if silence > max(MIN_SILENCE_S, SILENT_FACTOR * usual_latency):
-                latency = max(latency, silence / usual_latency)
-        return latency
-
-    # --- attempts and final answers ---------------------------------------------------------------
+        """Return the backend for a job's next attempt, if there is one."""
+        return self.backends.choose(self.now, job, self.class_latency[job.req.cls])
 
     def send(self, job: Job, backend: ProxyBackend) -> None:
         backend.in_flight[job.req.request, job.attempts] = self.now
@@ -377,21 +248,21 @@
         job.attempts += 1
         job.tried.append(backend.entry.backend)
         if len(job.tried) == 1:
-            service = self.service(job.req.service)
+            service = self.backends.service(job.req.service)
             earned_tokens = RETRY_BUDGET_SHARE * self.rules.retry_ratio
             service.retry_tokens = min(MAX_RETRY_TOKENS, service.retry_tokens + earned_tokens)
         self.actions.append(i.Send(job.req.request, backend.entry.backend, 0.0))
 
     def on_finished(self, event: i.Finished) -> None:
         job = self.jobs.get(event.request)
-        backend = self.backends.get(event.backend)
+        backend = self.backends.by_id.get(event.backend)
         attempt = event.request, event.attempt
         sent_at = backend.in_flight.pop(attempt, None) if backend is not None else None
         if backend is not None and sent_at is not None:
             self.attempts_in_flight -= 1
             self.observe(backend, event, self.now - sent_at, job)
             if backend.state is State.GONE and not backend.in_flight:
-                del self.backends[event.backend]
+                del self.backends.by_id[event.backend]
         if job is None:
             return
         ended = job.in_flight.pop(event.attempt, None)
@@ -459,7 +330,7 @@
         if not may_repeat or not has_time or job.attempts >= self.settings.limits.max_attempts:
             return self.end_job(job)
         if reached_count:
-            service = self.service(job.req.service)
+            service = self.backends.service(job.req.service)
             if reached_count >= max_attempts or service.retry_tokens < 1:
                 self.denied_retries += 1
                 return self.end_job(job)
@@ -553,7 +424,7 @@
             if not is_silent or self.now - sent_at < LOST_FACTOR * usual_latency:
                 continue
             max_attempts = job.req.most or self.settings.limits.max_attempts
-            service = self.service(job.req.service)
+            service = self.backends.service(job.req.service)
             reached_count = job.attempts - self.unreached.get(job.req.request, 0)
             may_copy = reached_count < max_attempts and service.retry_tokens >= 1
             has_time = job.deadline - self.now > usual_latency
--- a/tests/proxy/test_proxy_gateway.py
+++ b/tests/proxy/test_proxy_gateway.py
@@ -11,7 +11,8 @@
 from ivymux.proxy.module_settings import module_settings
 from orchidhill import interface as i
 from orchidhill.interface import Effect, Outcome, State, Why
-from orchidhill.proxy_gateway import MAX_RETRY_TOKENS, SILENT, ProxyGateway, ProxyRules
+from orchidhill.proxy_backends import SILENT
+from orchidhill.proxy_gateway import MAX_RETRY_TOKENS, ProxyGateway, ProxyRules
 
 CLASSES = tuple(
     i.RequestClass(name, 0.3, 1.2, effect, i.Scope.ALL, 0.0, 1.0, 0.1, False)
@@ -223,7 +224,7 @@
 def test_copies_of_slow_requests_draw_on_the_retry_budget() -> None:
     harness = ProxyHarness()
     learn_latency(harness)
-    service = harness.gateway.service(0)
+    service = harness.gateway.backends.service(0)
     service.retry_tokens = 0.0
     _, actions = harness.send_request()
     assert len(sent_backends(actions)) == 1 and service.retry_tokens < 1
@@ -248,7 +249,7 @@
     else:
         request, actions = harness.send_request()
     (backend,) = sent_backends(actions)
-    for other in set(harness.gateway.backends) - {backend}:
+    for other in set(harness.gateway.backends.by_id) - {backend}:
         harness.set_backends((other, others))
     for _ in range(60):
         harness.now += 0.025
@@ -399,4 +400,4 @@
     harness.now += harness.gateway.class_latency[0] / 2
     harness.handle(i.Left(request))
     harness.handle(i.Finished(request, 0, backend, Outcome.CANCELLED, True, 0.01, 0, 0, ()))
-    assert harness.gateway.backends[backend].relative_latency == 1.0 and not harness.gateway.jobs
+    assert harness.gateway.backends.by_id[backend].relative_latency == 1.0 and not harness.gateway.jobs
--- a/tests/simulation/faulty.py
+++ b/tests/simulation/faulty.py
@@ -23,7 +23,8 @@
 from ivymux.proxy.program import Proxy
 from orchidhill import interface as i
 from orchidhill.interface import Outcome, State
-from orchidhill.proxy_gateway import MIN_SILENCE_S, ProxyGateway
+from orchidhill.proxy_backends import MIN_SILENCE_S
+from orchidhill.proxy_gateway import ProxyGateway
 
 
 def replace_attribute(owner: Any, name: str, value: Any) -> None:
@@ -40,7 +41,7 @@
 
     def retry_or_end(self: ProxyGateway, job: Any, outcome: Outcome) -> None:
         job.possible_run = None
-        for service in self.services.values():
+        for service in self.backends.services.values():
             service.retry_tokens = 100.0
         original(self, job, outcome)
 
@@ -151,7 +152,7 @@
 
     def retry_or_end(self: ProxyGateway, job: Any, outcome: Outcome) -> None:
         job.req.most = 6
-        for service in self.services.values():
+        for service in self.backends.services.values():
             service.retry_tokens = 100.0
         original(self, job, outcome)
 
@@ -180,7 +181,7 @@
 def slow_requests_broken_off() -> None:
     def copy_to_others(self: ProxyGateway) -> None:
         for job in [job for job in self.jobs.values() if job.in_flight and not job.closed]:
-            service = self.service(job.req.service)
+            service = self.backends.service(job.req.service)
             service.retry_tokens = 0.0  # so that it ends
             for attempt, (_, sent_at) in job.in_flight.items():
                 if self.now - sent_at > MIN_SILENCE_S:
