--- a/ivymux/simulation/soak_plan.py
+++ b/ivymux/simulation/soak_plan.py
@@ -94,26 +94,34 @@
     return day, sorted(events, key=lambda event: event.at)
 
 
-def draw_times(rng: random.Random, size: SoakSize, interval_s: float) -> Iterator[float]:
-    """Yield the times of a series of troubles."""
+def draw_times(
+    rng: random.Random, size: SoakSize, interval_s: float, calm_end_s: float = CALM_END_S
+) -> Iterator[float]:
+    """Yield the times of a series of troubles; there are none in the last `calm_end_s` seconds."""
     at = CALM_START_S
-    while (at := at + rng.expovariate(1 / interval_s)) < size.seconds - CALM_END_S:
+    while (at := at + rng.expovariate(1 / interval_s)) < size.seconds - calm_end_s:
         yield round(at, 3)
 
 
-def draw_requests(seed: int, size: SoakSize) -> Iterator[Event]:
-    """Yield the clients' requests, from the beginning to the end."""
-    rng = random.Random(f"requests {seed}")
+def draw_arrivals(rng: random.Random, size: SoakSize) -> Iterator[tuple[int, float]]:
+    """Yield the number and the time of each request, from the beginning to the end."""
     at, number = 0.0, 0
     while (at := at + rng.expovariate(size.rate)) < size.seconds:
         number += 1
+        yield number, round(at, 4)
+
+
+def draw_requests(seed: int, size: SoakSize) -> Iterator[Event]:
+    """Yield the clients' requests, from the beginning to the end."""
+    rng = random.Random(f"requests {seed}")
+    for number, at in draw_arrivals(rng, size):
         is_sign = rng.random() < SIGN_SHARE
         leaves_s = LEAVE_AFTER_S if not is_sign and rng.random() < LEAVE_SHARE else 0.0
         path = f"/{'sign' if is_sign else 'read'}/{number}"
         method = "POST" if is_sign else "GET"
         body = rng.randint(1, MAX_BODY_BYTES) if is_sign and rng.random() < BODY_SHARE else 0
         door = rng.randrange(size.doors)
-        yield ClientRequest(round(at, 4), f"r{number}", door, path, method, leaves=leaves_s, body=body)
+        yield ClientRequest(at, f"r{number}", door, path, method, leaves=leaves_s, body=body)
 
 
 def draw_very_long_bodies(seed: int, size: SoakSize) -> Iterator[Event]:
--- a/ivymux/simulation/stop_plan.py
+++ b/ivymux/simulation/stop_plan.py
@@ -20,12 +20,7 @@
     ReloadMachine,
     StartMachine,
 )
-from ivymux.simulation.soak_plan import (
-    CALM_START_S,
-    INTERPRETER_START_S,
-    ROUTES,
-    SoakSize,
-)
+from ivymux.simulation.soak_plan import INTERPRETER_START_S, ROUTES, SoakSize, draw_arrivals, draw_times
 
 GRACE_S = 6.0  # enough for a request that comes last and takes until its deadline
 CALM_END_S = 8.0  # at the end, for the last proxies to be back
@@ -62,13 +57,11 @@
 def draw_requests(seed: int, size: SoakSize) -> Iterator[Event]:
     """Yield the clients' requests, from the beginning to the end."""
     rng = random.Random(f"requests {seed}")
-    at, number = 0.0, 0
-    while (at := at + rng.expovariate(size.rate)) < size.seconds:
-        number += 1
+    for number, at in draw_arrivals(rng, size):
         is_sign = rng.random() < SIGN_SHARE
         path, method = (f"/sign/{number}", "POST") if is_sign else (f"/read/{number}", "GET")
         door, work_s = rng.randrange(size.doors), draw_work(rng)
-        yield ClientRequest(round(at, 4), f"r{number}", door, path, method, work=work_s)
+        yield ClientRequest(at, f"r{number}", door, path, method, work=work_s)
 
 
 def draw_proxy_stops(seed: int, size: SoakSize) -> Iterator[Event]:
@@ -91,15 +84,13 @@
 
 def draw_stop_times(seed: int, series: int, size: SoakSize) -> Iterator[float]:
     rng = random.Random(f"stop times {seed} {series}")
-    at = CALM_START_S
-    while (at := at + rng.expovariate(1 / MEAN_STOP_INTERVAL_S)) < size.seconds - CALM_END_S:
-        yield round(at, 3)
+    return draw_times(rng, size, MEAN_STOP_INTERVAL_S, CALM_END_S)
 
 
 def draw_changes(seed: int, size: SoakSize) -> Iterator[Event]:
     """Yield the operator's changes, which move the reads from one service to the other."""
     rng = random.Random(f"changes {seed}")
-    at, version = CALM_START_S, 1
-    while (at := at + rng.expovariate(1 / CHANGE_INTERVAL_S)) < size.seconds - CALM_END_S:
+    version = 1
+    for at in draw_times(rng, size, CHANGE_INTERVAL_S, CALM_END_S):
         version += rng.randint(1, 4)
-        yield ConfigurationChange(round(at, 3), rng.randrange(size.cores), version, rng.choice(ROUTES))
+        yield ConfigurationChange(at, rng.randrange(size.cores), version, rng.choice(ROUTES))
