Unread messages: closed connections count until their buffers are freed

Cause: a connection closed for its unread messages stopped counting at once, but uvloop frees its buffers only at the end of the turn of the event loop. Callers that arrive in one turn passed the limit one after another. Class: memory that is no longer counted but still held.

Change: it counts until the loop has run once more after `connection_lost`. Those already closed are no choice any more, nor is a connection with less than 64 KiB, so that ordinary peers aren't closed while those buffers are freed.

--- a/ivymux/transport/connection.py
+++ b/ivymux/transport/connection.py
@@ -263,6 +263,9 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.mark_disconnected()
+        if self.unread_messages is not None:
+            # uvloop frees a closed connection's buffers at the end of this turn of the event loop.
+            asyncio.get_running_loop().call_soon(self.unread_messages.forget, self)
 
     def mark_disconnected(self) -> None:
         """Fail the pending calls and notify the owner, once per connection."""
@@ -272,8 +275,6 @@
         self.frame_decoder.buffer.clear()
         if self.partial_frames is not None:
             self.partial_frames.forget(self)
-        if self.unread_messages is not None:
-            self.unread_messages.forget(self)
         if self.liveness_timer is not None:
             self.liveness_timer.cancel()
         for pending in self.pending_calls.values():
--- a/ivymux/transport/unread_messages.py
+++ b/ivymux/transport/unread_messages.py
@@ -5,10 +5,14 @@
 from collections import Counter, deque
 from typing import Protocol
 
+MIN_VICTIM_BYTES = 64 << 10  # closing a connection on which less waits frees too little
+
 
 class Peer(Protocol):
     """A connection, as far as what it has not sent yet goes."""
 
+    is_aborted: bool  # its buffers are freed later: `UnreadMessages.forget` is called then
+
     @property
     def unsent_bytes(self) -> int: ...
 
@@ -37,14 +41,25 @@
             self.drop_sent(other)
         if self.total <= self.max_bytes:
             return None
-        return max(self.queues, key=lambda other: (self.own_bytes(other), self.queued_bytes[other]))
+        return self.peer_to_close()
+
+    def peer_to_close(self) -> Peer | None:
+        """Return the open connection on which most waits that no other has, if that is worth its end."""
+        open_peers = (
+            peer
+            for peer, queued_bytes in self.queued_bytes.items()
+            if queued_bytes >= MIN_VICTIM_BYTES and not peer.is_aborted
+        )
+        return max(open_peers, key=lambda peer: (self.own_bytes(peer), self.queued_bytes[peer]), default=None)
 
     def own_bytes(self, peer: Peer) -> int:
         """Return the bytes that wait for one connection alone."""
         return sum(len(message) for message in self.queues[peer] if self.reference_counts[id(message)] == 1)
 
     def drop_sent(self, peer: Peer) -> None:
-        """Forget the messages of a connection that it has sent whole."""
+        """Forget the messages of an open connection that it has sent whole."""
+        if peer.is_aborted:
+            return
         queue, unsent_bytes = self.queues[peer], peer.unsent_bytes
         while queue and self.queued_bytes[peer] - len(queue[0]) >= unsent_bytes:
             self.release(peer, queue.popleft())
@@ -59,7 +74,7 @@
             self.total -= len(message)
 
     def forget(self, peer: Peer) -> None:
-        """Forget a connection that has ended."""
+        """Forget a connection that has ended and whose buffers are freed."""
         for message in self.queues.pop(peer, ()):
             self.release(peer, message)
         self.queued_bytes.pop(peer, None)
