Answers wait for room among the unread ones, in place of closed readers

Callers saw: of 40 answers of 24 MB that 8 clients asked for at once, 12 and 15 broke off although the clients read as fast as they could.

Cause: reading from backends paused while many bytes were held, but the answer that had been arriving for longest was always read. Backends are faster than clients, so one whole answer after another joined those that clients had not read yet, until these passed their limit and the slowest reader was closed, after less than 0.25 s of reading.

Change: that answer waits too, unless nothing is unread, while there is no room for it among the unread ones. So that clients which read nothing hold nobody up, the slowest reader that has had 2 s and needs over 2 s more is closed while answers wait (`reader_to_close`).

test_answer_flow asked that something is always readable, whatever clients have not read: exactly the fault. It now asks that nothing waits unless the first answer has no room, and that all go on once clients have read. test_memory asked for no failure, and let closed readers pass; now each of the 40 answers must come whole.

--- a/ivymux/data_plane/answer_flow.py
+++ b/ivymux/data_plane/answer_flow.py
@@ -19,13 +19,16 @@
 class AnswerFlow:
     """Counts the bytes of the answers that are received, and pauses reading beyond a limit.
 
-    The answer that has been arriving for longest is always read, so that one comes to its end.
+    The answer that has been arriving for longest is read beyond it, so that one comes to its end, but not
+    while it and the answers that clients have not read yet take more than these may.
     """
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
         self.unread_bytes: Callable[[], int] = lambda: 0  # of whole answers that clients have not read yet
         self.room_bytes: Callable[[], int] = lambda: max_bytes  # of these, and of answers that are received
+        # Of these alone; beyond it the connections of clients that read slowly are closed.
+        self.max_unread_bytes: Callable[[], int] = self.room_bytes
         self.held_bytes = 0  # of answers that are being received
         self.sizes: dict[Reader, int] = {}  # of these, the longest arriving first
         self.paused: set[Reader] = set()
@@ -48,10 +51,27 @@
     def is_full(self) -> bool:
         return self.held_bytes + self.unread_bytes() > min(self.max_bytes, self.room_bytes())
 
+    @property
+    def is_held_up(self) -> bool:
+        """Whether no long answer is read until clients have read theirs."""
+        return bool(self.paused) and self.first_arriving() in self.paused
+
+    def first_arriving(self) -> Reader:
+        """Return the connection whose answer has been arriving for longest."""
+        return next(iter(self.sizes))
+
+    def may_read(self, reader: Reader) -> bool:
+        """Whether there is room for more of an answer."""
+        if self.sizes[reader] < MIN_PAUSED_BYTES or not self.is_full():
+            return True
+        if reader is not self.first_arriving():
+            return False
+        unread_bytes = self.unread_bytes()
+        return not unread_bytes or unread_bytes + self.sizes[reader] <= self.max_unread_bytes()
+
     def pause(self, reader: Reader) -> None:
-        """Pause an answer unless it is short, or the one that has been arriving for longest."""
-        is_first = next(iter(self.sizes)) is reader
-        if not is_first and self.sizes[reader] >= MIN_PAUSED_BYTES and reader not in self.paused:
+        """Pause an answer if there is no room for more of it."""
+        if reader not in self.paused and not self.may_read(reader):
             self.paused.add(reader)
             reader.pause_reading()
 
@@ -59,9 +79,6 @@
         """Go on reading what there is room for; called when answers have ended or were read by clients."""
         if not self.paused:
             return
-        first = next(iter(self.sizes))
-        resumed = [first] if self.is_full() else list(self.sizes)
-        for reader in resumed:
-            if reader in self.paused:
-                self.paused.discard(reader)
-                reader.resume_reading()
+        for reader in [reader for reader in self.sizes if reader in self.paused and self.may_read(reader)]:
+            self.paused.discard(reader)
+            reader.resume_reading()
--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -17,7 +17,7 @@
 from ivymux.data_plane.receive_queue import ReceiveQueue
 from ivymux.data_plane.refusal_log import RefusalLog
 from ivymux.data_plane.refusals import GATEWAY
-from ivymux.data_plane.slow_readers import ReadProgress, slowest
+from ivymux.data_plane.slow_readers import ReadProgress, reader_to_close, slowest
 
 if TYPE_CHECKING:
     from ivymux.data_plane.host import Host
@@ -75,6 +75,7 @@
         self.listening_socket: socket.socket | None = None  # until connections are accepted from it
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.close_overdue)
         self.refusal_log = host.refusal_log if host is not None else RefusalLog()
+        self.are_answers_held_up: Callable[[], bool] = lambda: False  # by clients that do not read theirs
         # Called when clients may have read answers that waited.
         self.on_answers_read: Callable[[], None] = lambda: None
 
@@ -258,6 +259,7 @@
         self.close_stalled_readers()
         self.limit_slow_readers()
         self.on_answers_read()
+        self.close_reader_that_holds_others_up()
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.close_overdue)
 
     def limit_slow_readers(self) -> None:
@@ -270,6 +272,15 @@
             self.closed_slow_readers += 1
             client.abort()
 
+    def close_reader_that_holds_others_up(self) -> None:
+        """Close the slowest reader while answers to others wait for room, unless it needs little time."""
+        if not self.are_answers_held_up():
+            return
+        client = reader_to_close(self.slow_readers, time.monotonic())
+        if client is not None:
+            self.closed_slow_readers += 1
+            client.abort()
+
     def close_stalled_readers(self) -> None:
         """Close connections whose client has read nothing of its answers for UNREAD_TIMEOUT_S."""
         now = time.monotonic()
--- a/ivymux/data_plane/slow_readers.py
+++ b/ivymux/data_plane/slow_readers.py
@@ -7,6 +7,7 @@
 
 Client = TypeVar("Client")
 MIN_OBSERVATION_S = 0.25  # before which a client's rate says nothing
+PATIENCE_S = 2.0  # that a reader has before it is closed because answers to others wait for it
 
 
 class ReadProgress:
@@ -54,3 +55,19 @@
             return
         count, held_bytes = count - 1, held_bytes - progress.held_bytes
         yield client
+
+
+def reader_to_close(readers: Mapping[Client, ReadProgress], now: float) -> Client | None:
+    """Return the client that needs longest, if its connection is to be closed as answers to others wait.
+
+    Clients that have had less than PATIENCE_S, or will have read their answers within that time, are kept.
+    """
+    remaining = {
+        client: progress.remaining_s(now)
+        for client, progress in readers.items()
+        if now - progress.since >= PATIENCE_S
+    }
+    slowest_client = max(remaining, key=lambda client: remaining[client], default=None)
+    if slowest_client is None or remaining[slowest_client] <= PATIENCE_S:
+        return None
+    return slowest_client
--- a/tests/system/test_memory.py
+++ b/tests/system/test_memory.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from ivymux.simulation.local_cluster import LocalCluster, build_configuration, local_cluster
+from ivymux.simulation.local_cluster import FRONT_PORT, LocalCluster, build_configuration, local_cluster
 from ivymux.simulation.process_monitor import peak_memory_mb
 from standins.backend import Backend
 
@@ -33,6 +33,14 @@
         yield cluster
 
 
+def answer_at_length(cluster: LocalCluster) -> None:
+    """Let all backends answer with the long body."""
+    for backend in cluster.backends:
+        backend.make_answer = lambda request: Backend.encode_answer(
+            200, request.id, LONG_BODY, f"Server-Seal: seal-{request.id}\r\n"
+        )
+
+
 # Guards against bodies that stay in memory after their requests, until the proxy is killed (issue 76).
 @pytest.mark.parametrize("headers", [{}, {"Idempotency_Key": '"key-{number}"'}])
 def test_long_bodies_one_after_another_stay_within_the_memory(
@@ -59,18 +67,55 @@
     async def scenario() -> None:
         async with one_proxy(tmp_path) as cluster:
             (proxy,) = cluster.proxy_ips
-            for backend in cluster.backends:
-                backend.make_answer = lambda request: Backend.encode_answer(
-                    200, request.id, LONG_BODY, f"Server-Seal: seal-{request.id}\r\n"
-                )
+            answer_at_length(cluster)
             for _ in range(5):
                 requests = (
                     cluster.send_request(proxy, path=f"/read/{number}", Time_Remaining=TIME_REMAINING)
                     for number in range(8)
                 )
                 answers = await asyncio.gather(*requests)
-                # None is replaced by a failure for lack of room; clients that read slowly may be closed.
-                assert {answer.status_code for answer in answers if answer is not None} == {200}
+                # None is replaced by a failure for lack of room, or closed as one that reads slowly.
+                assert [answer and answer.status_code for answer in answers] == [200] * len(answers)
+            assert peak_memory_mb(cluster.processes[proxy][0].pid) < MEMORY_MB
+
+    asyncio.run(scenario())
+
+
+SILENT_READERS = 6  # twice as many as their answers have room for
+
+
+async def ask_and_read_nothing(proxy: str, number: int) -> asyncio.StreamWriter:
+    """Send a request and read only the beginning of its answer; return the open connection."""
+    _, writer = await asyncio.open_connection(proxy, FRONT_PORT, limit=1 << 16)
+    writer.write(
+        f"GET /read/silent-{number} HTTP/1.1\r\nHost: minutes.example\r\nTry-Id: silent-{number}\r\n"
+        f"Time-Remaining: {TIME_REMAINING}\r\nAuthorization: Bearer key-one\r\n\r\n".encode()
+    )
+    return writer
+
+
+# Guards against readers that hold up the answers to others for as long as they please.
+def test_long_answers_are_served_beside_clients_that_read_nothing(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with one_proxy(tmp_path) as cluster:
+            (proxy,) = cluster.proxy_ips
+            answer_at_length(cluster)
+            writers = [await ask_and_read_nothing(proxy, number) for number in range(SILENT_READERS)]
+            while sum(len(backend.executed) for backend in cluster.backends) < SILENT_READERS:
+                await asyncio.sleep(0.02)
+            answer = await cluster.client_of(proxy).get(
+                f"http://{proxy}:{FRONT_PORT}/read/1",
+                headers={
+                    "Host": "minutes.example",
+                    "Authorization": "Bearer key-one",
+                    "Try-Id": "long",
+                    "Time-Remaining": TIME_REMAINING,
+                },
+                timeout=20.0,
+            )
+            assert answer.status_code == 200 and answer.content == LONG_BODY
             assert peak_memory_mb(cluster.processes[proxy][0].pid) < MEMORY_MB
+            for writer in writers:
+                writer.transport.abort()
 
     asyncio.run(scenario())
--- a/tests/test_answer_flow.py
+++ b/tests/test_answer_flow.py
@@ -1,4 +1,4 @@
-"""Reading from backends pauses while many bytes of answers are held, and always goes on."""
+"""Reading from backends pauses while many bytes of answers are held, and goes on once clients have read."""
 
 from __future__ import annotations
 
@@ -40,10 +40,14 @@
     unread = 0
     flow.unread_bytes = lambda: unread
     while arriving:
-        unread = data.draw(st.sampled_from([0, unread, 2 * LIMIT]))
+        unread = data.draw(st.sampled_from([0, unread, LIMIT // 2, 2 * LIMIT]))
         flow.update()
+        if all(answer.is_paused for answer in arriving):
+            assert flow.is_held_up and unread and unread + next(iter(flow.sizes.values())) > LIMIT
+            unread = 0
+            flow.update()
         readable = [answer for answer in arriving if not answer.is_paused]
-        assert readable
+        assert readable and not (flow.is_held_up and not unread)
         answer = data.draw(st.sampled_from(readable))
         answer.read()
         _, *others = flow.sizes.values()
@@ -56,7 +60,7 @@
 
 def test_an_answer_that_is_paused_goes_on_once_clients_have_read() -> None:
     flow = AnswerFlow(LIMIT)
-    unread = LIMIT
+    unread = LIMIT - CHUNK
     flow.unread_bytes = lambda: unread
     first, second = Arriving(flow, LIMIT), Arriving(flow, LIMIT)
     first.read()
@@ -65,3 +69,19 @@
     unread = 0
     flow.update()
     assert not second.is_paused
+
+
+# Guards against clients that are closed as slow readers because answers come faster than they can read.
+def test_an_answer_that_clients_leave_no_room_for_waits_until_they_have_read() -> None:
+    flow = AnswerFlow(LIMIT)
+    unread = LIMIT // 2
+    flow.unread_bytes = lambda: unread
+    first, second = Arriving(flow, LIMIT), Arriving(flow, LIMIT)
+    while not first.is_paused:
+        first.read()
+    second.read()
+    assert flow.is_held_up and second.is_paused
+    assert LIMIT < flow.sizes[first] + unread <= LIMIT + CHUNK
+    unread = LIMIT // 4
+    flow.update()
+    assert (first.is_paused, second.is_paused) == (False, True)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -16,7 +16,7 @@
 from ivymux.data_plane.frontend import Answer
 from ivymux.data_plane.limits import Address, Bounds
 from ivymux.data_plane.server import Server
-from ivymux.data_plane.slow_readers import ReadProgress, slowest
+from ivymux.data_plane.slow_readers import PATIENCE_S, ReadProgress, reader_to_close, slowest
 from ivymux.proxy.status_pages import StatusPagesFrontend
 
 from .sockets import run, until
@@ -262,3 +262,16 @@
                 reader.socket.close()
 
     run(test())
+
+
+def test_the_reader_that_needs_longest_is_closed_where_answers_to_others_wait() -> None:
+    readers = {
+        "slow": reader_progress(1000, 100, PATIENCE_S), "silent": reader_progress(100, 0, PATIENCE_S),
+        "fast": reader_progress(1000, 1000, PATIENCE_S), "new": reader_progress(1000, 0, 0.9 * PATIENCE_S),
+    }  # fmt: skip
+    assert reader_to_close(readers, 10.0) == "silent"
+    del readers["silent"]
+    assert reader_to_close(readers, 10.0) == "slow"
+    del readers["slow"]
+    assert reader_to_close(readers, 10.0) is None
+    assert reader_to_close({}, 10.0) is None
