--- a/ivymux/simulation/soak.py
+++ b/ivymux/simulation/soak.py
@@ -1,7 +1,7 @@
 """Soaks of the system: seeded plans of overlapping troubles against real processes, checked by the rules.
 
-python3 -m ivymux soak --seed N [--plan troubles|stops] [--runs N] [--seconds S] [--rate R] [--doors N]
-    [--cores N] [--report DIR]
+python3 -m ivymux soak --seed N [--plan troubles|stops|releases] [--runs N] [--seconds S] [--rate R]
+    [--doors N] [--cores N] [--backends N] [--report DIR]
 
 The programs are started as the deploy file starts them.  A plan depends on its seed alone; the times at which
 processes carry it out do not.  The day and the observations of a run that breaks a rule are kept in the
@@ -25,13 +25,14 @@
 from ivymux.simulation.day_file import Observation, ProcessUse, RecorderStall
 from ivymux.simulation.day_player import play_day
 from ivymux.simulation.local_cluster import LOG_FILE_NAME
+from ivymux.simulation.release_plan import draw_releases
 from ivymux.simulation.replay import find_breaches, format_summary
 from ivymux.simulation.rules import Breach
 from ivymux.simulation.soak_plan import CALM_END_S, CALM_START_S, SoakSize, draw_soak
 from ivymux.simulation.stop_plan import draw_stops
 
 ENTRY_POINT = ("-S", "deploy/start.py")  # as in deploy/system.toml
-PLANS = {"troubles": draw_soak, "stops": draw_stops}
+PLANS = {"troubles": draw_soak, "stops": draw_stops, "releases": draw_releases}
 MIN_SECONDS = CALM_START_S + CALM_END_S + 1.0
 
 
--- a/tests/simulation/test_soak.py
+++ b/tests/simulation/test_soak.py
@@ -18,10 +18,12 @@
     Observation,
     ProcessEnd,
     ProcessUse,
+    QuiesceBackend,
     ReloadMachine,
     StartMachine,
 )
 from ivymux.simulation.local_cluster import local_cluster
+from ivymux.simulation.release_plan import MIN_CORE_REST_S, draw_releases
 from ivymux.simulation.rules import check
 from ivymux.simulation.soak import main
 from ivymux.simulation.soak_plan import DISK_REPAIR_S, SoakSize, draw_soak
@@ -110,6 +112,29 @@
     assert max(works_s) <= MAX_WORK_S and sum(work_s > 0.8 for work_s in works_s) > 0.02 * len(works_s)
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_a_plan_of_releases_stops_one_core_machine_at_a_time_and_keeps_backends(seed: int) -> None:
+    size = SoakSize(seconds=120.0)
+    _, events = draw_releases(seed, size)
+    about_cores = [
+        e for e in events if isinstance(e, KillMachine | StartMachine) and e.machine.startswith("core-")
+    ]
+    assert len(about_cores) > 10
+    for stop, start in zip(about_cores[::2], about_cores[1::2], strict=True):
+        assert isinstance(stop, KillMachine) and stop.how == "term"
+        assert isinstance(start, StartMachine) and start.machine == stop.machine
+    for start, stop in itertools.pairwise(about_cores[1:]):
+        assert isinstance(start, KillMachine) or stop.at - start.at >= MIN_CORE_REST_S
+    leaving = [event.backend for event in events if isinstance(event, QuiesceBackend)]
+    assert len(set(leaving)) == len(leaving) <= 2 * (size.backends - 2)
+
+
+def test_some_plans_of_releases_have_a_tenant_beyond_its_quota() -> None:
+    size = SoakSize(seconds=60.0)
+    rates = {draw_releases(seed, size)[0].rate for seed in range(20)}
+    assert min(rates) < size.rate < max(rates)
+
+
 @pytest.mark.alone
 def test_a_soak_of_planned_stops_loses_no_request(capsys: pytest.CaptureFixture[str]) -> None:
     arguments = ["--plan", "stops", "--seed", CI_SEED, "--seconds", CI_STOPS_SECONDS, "--report", "found"]
