Transport: a module each for connections, connectors and listeners

`connection.py` held three classes and the constants of each in 432 lines. Now `connector.py` keeps outgoing connections open, `listener.py` accepts incoming ones. A listener's three limits, which three programs worked out with three functions, are one value, `ListenerLimits.from_settings`. Nothing that leaves a process has changed.

--- a/bench/sizing.py
+++ b/bench/sizing.py
@@ -22,7 +22,8 @@
 from bench.common import parse_arguments, summarize, write_report
 from bench.system import CORE_IPS, LocalSystem, routing_configuration
 from ivymux.data_plane.limits import Address
-from ivymux.transport.connection import Connection, Connector
+from ivymux.transport.connection import Connection
+from ivymux.transport.connector import Connector
 from ivymux.transport.frames import Message, encode_frame
 
 PROXY_COUNTS = (11, 85, 300, 1000)
--- a/ivymux/config_store/disk_recovery.py
+++ b/ivymux/config_store/disk_recovery.py
@@ -19,8 +19,9 @@
 from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
-from ivymux.transport.connection import CALL_NUMBER, Connection, Listener
+from ivymux.transport.connection import CALL_NUMBER, Connection
 from ivymux.transport.frames import Message
+from ivymux.transport.listener import Listener
 
 FIRST_RETRY_DELAY_S = 0.1  # after a failure, until the disk is tried again
 MAX_RETRY_DELAY_S = 2.0
--- a/ivymux/config_store/program.py
+++ b/ivymux/config_store/program.py
@@ -34,16 +34,10 @@
 from ivymux.data_plane.limits import Address
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
-from ivymux.transport.connection import (
-    Connection,
-    Connector,
-    Listener,
-    TransportError,
-    max_connections,
-    max_partial_bytes,
-    max_unread_bytes,
-)
+from ivymux.transport.connection import Connection, TransportError
+from ivymux.transport.connector import Connector
 from ivymux.transport.frames import Message
+from ivymux.transport.listener import Listener, ListenerLimits
 
 TICK_INTERVAL_S = 0.05
 SHUTDOWN_MARGIN_S = 1.0  # before the end of `grace`, when the process ends even if it is still needed
@@ -91,9 +85,7 @@
         self.listener = Listener(
             self.on_message,
             on_disconnect=self.on_disconnect,
-            max_connections=max_connections(settings.fd_limit),
-            max_partial_bytes=max_partial_bytes(settings.memory_mb),
-            max_unread_bytes=max_unread_bytes(settings.memory_mb),
+            limits=ListenerLimits.from_settings(settings),
         )
         self.registries: set[Connection] = set()  # that receive updates
         self.calls: dict[int, asyncio.Future[None]] = {}  # waiting for all disks of the epoch, by id
--- a/ivymux/proxy/action_claims.py
+++ b/ivymux/proxy/action_claims.py
@@ -14,7 +14,8 @@
 from ivymux.idempotency.record_store import DONE, FREE, LOST, NOT_KNOWN, PROCEED
 from ivymux.idempotency.settings import ConversationSettings
 from ivymux.proxy.keyed_actions import Action, answer_for_verdict, encode_answer
-from ivymux.transport.connection import Connector, TransportError
+from ivymux.transport.connection import TransportError
+from ivymux.transport.connector import Connector
 from ivymux.transport.frames import Message
 
 ACQUIRE_TIMEOUT_S = 1.5  # long enough for a lost leader to be replaced
--- a/ivymux/proxy/core_connection.py
+++ b/ivymux/proxy/core_connection.py
@@ -9,7 +9,8 @@
 from ivymux.proxy.proxy_list_sources import needs_list_source
 from ivymux.registry import message_kinds as kinds
 from ivymux.runtime.log import Log
-from ivymux.transport.connection import Connection, Connector
+from ivymux.transport.connection import Connection
+from ivymux.transport.connector import Connector
 from ivymux.transport.frames import Message
 from orchidhill import interface as i
 
--- a/ivymux/proxy/distributed_counter.py
+++ b/ivymux/proxy/distributed_counter.py
@@ -16,7 +16,8 @@
 from ivymux.proxy.lease_counts import LeaseCounts
 from ivymux.runtime.log import Log
 from ivymux.tally.store import MAX_AMOUNT, CounterFullError
-from ivymux.transport.connection import Connection, Connector
+from ivymux.transport.connection import Connection
+from ivymux.transport.connector import Connector
 from ivymux.transport.frames import Message
 from orchidhill.interface import Count, Counted, Late, Outcome
 
--- a/ivymux/proxy/keyed_requests.py
+++ b/ivymux/proxy/keyed_requests.py
@@ -17,7 +17,7 @@
 from ivymux.proxy.membership_view import UP, Backend
 from ivymux.routing_config.route_plan import Route
 from ivymux.runtime.log import Log
-from ivymux.transport.connection import Connector
+from ivymux.transport.connector import Connector
 
 log = Log("proxy")
 
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -36,14 +36,9 @@
 from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
-from ivymux.transport.connection import (
-    Connector,
-    Listener,
-    max_connections,
-    max_partial_bytes,
-    max_unread_bytes,
-)
+from ivymux.transport.connector import Connector
 from ivymux.transport.frames import Message
+from ivymux.transport.listener import Listener, ListenerLimits
 from orchidhill import interface as i
 from orchidhill.proxy_gateway import ProxyGateway, ProxyRules
 
@@ -90,9 +85,10 @@
         self.shard_tables = ShardTables()
         self.entries = MemberEntries(self.membership, self.tables, settings.zone)
         self.holders = CounterHolders(self.id, now, settings.is_initial_start)
-        max_callers = max_connections(settings.fd_limit)  # other proxies
+        listener_limits = ListenerLimits.from_settings(settings)  # of connections from other proxies
         bounds = Bounds.from_limits(
-            max(MIN_SOCKETS, settings.fd_limit - RESERVED_SOCKETS - max_callers), settings.memory_mb
+            max(MIN_SOCKETS, settings.fd_limit - RESERVED_SOCKETS - listener_limits.max_connections),
+            settings.memory_mb,
         )
         max_buffered_bytes = int(settings.memory_mb * BUFFERED_ANSWERS_PART * (1 << 20))
         upstream = Upstream(
@@ -153,9 +149,7 @@
             )
         self.listener = Listener(
             self.counter.on_caller_message,
-            max_connections=max_callers,
-            max_partial_bytes=max_partial_bytes(settings.memory_mb),
-            max_unread_bytes=max_unread_bytes(settings.memory_mb),
+            limits=listener_limits,
         )
         self.cores: dict[str, CoreConnection] = {}
         self.config_version, self.first_applied_at = -1, 0.0
--- a/ivymux/proxy/trial_client.py
+++ b/ivymux/proxy/trial_client.py
@@ -17,7 +17,8 @@
 from ivymux.fault_injection.request_matcher import RENEWAL_INTERVAL_S, RequestMatcher
 from ivymux.fault_injection.trial_set import CLOSE, DELAY, LOSE, TrialError, decode
 from ivymux.runtime.log import Log
-from ivymux.transport.connection import Connector, TransportError
+from ivymux.transport.connection import TransportError
+from ivymux.transport.connector import Connector
 
 CALL_TIMEOUT_S = 0.5
 BASELINE_S = 10.0  # before a trial: other callers' failures in the trial are compared with this span's
--- a/ivymux/registry/operator_endpoints.py
+++ b/ivymux/registry/operator_endpoints.py
@@ -14,7 +14,8 @@
 from ivymux.idempotency import CONVERSATIONS
 from ivymux.registry import message_kinds as kinds
 from ivymux.routing_config.route_plan import RoutingConfigError
-from ivymux.transport.connection import Connector, TransportError
+from ivymux.transport.connection import TransportError
+from ivymux.transport.connector import Connector
 from ivymux.transport.frames import MAX_FRAME_BYTES, Message
 from ivymux.transport.http_calls import JSON, HttpRequest, endpoint, error_answer
 
--- a/ivymux/registry/program.py
+++ b/ivymux/registry/program.py
@@ -41,16 +41,8 @@
 from ivymux.runtime.log import Log
 from ivymux.runtime.settings import Settings
 from ivymux.sharding import SETTING_PREFIX
-from ivymux.transport.connection import (
-    CALL_NUMBER,
-    REPLY_TO,
-    Connection,
-    Connector,
-    Listener,
-    TransportError,
-    max_partial_bytes,
-    max_unread_bytes,
-)
+from ivymux.transport.connection import CALL_NUMBER, REPLY_TO, Connection, TransportError
+from ivymux.transport.connector import Connector
 from ivymux.transport.frames import Message, encode_frame
 from ivymux.transport.http_calls import (
     JSON,
@@ -60,6 +52,7 @@
     endpoint,
     error_answer,
 )
+from ivymux.transport.listener import Listener, ListenerLimits
 
 MAX_SILENT_HEARTBEATS = 2.3  # heartbeat periods without a call after which a backend counts as lost
 EXPIRY_INTERVAL_S = 0.25
@@ -135,9 +128,7 @@
         self.listener = Listener(
             self.on_message,
             on_disconnect=self.on_disconnect,
-            max_connections=max_proxies,
-            max_partial_bytes=max_partial_bytes(settings.memory_mb),
-            max_unread_bytes=max_unread_bytes(settings.memory_mb),
+            limits=ListenerLimits.from_settings(settings, max_proxies),
         )
         self.config_store = Connector(
             Address(settings.ip, settings.config_store_port),
--- a/ivymux/transport/connection.py
+++ b/ivymux/transport/connection.py
@@ -1,40 +1,22 @@
-"""Persistent TCP connections between the system's processes: messages, calls with answers, liveness checks.
-
-`Connection` is one connection, `Connector` keeps an outgoing one open, `Listener` accepts incoming ones.
-"""
+"""A TCP connection between two of the system's processes: messages, calls with answers, liveness checks."""
 
 from __future__ import annotations
 
 import asyncio
 import itertools
-import socket
 import time
 from collections.abc import Callable
 from typing import Any, cast
 
-from ivymux.data_plane.limits import LISTEN_BACKLOG, Address
 from ivymux.data_plane.receive_queue import ReceiveQueue
 from ivymux.runtime.log import Log
 from ivymux.transport.frames import FrameDecoder, FrameError, FrameTooLargeError, Message, encode_frame
 from ivymux.transport.partial_frames import PartialFrames
 from ivymux.transport.unread_messages import UnreadMessages
 
-CONNECT_TIMEOUT_S = 0.8
 PING_INTERVAL_S = 0.7  # a ping is sent after this long without any other message
 RECEIVE_TIMEOUT_S = 2.0  # a connection on which nothing arrives for this long counts as dead
-FIRST_RETRY_DELAY_S = 0.04
-MAX_RETRY_DELAY_S = 0.5
-# A killed process listens again within about FAST_RETRIES attempts.  The delay stays short for that many, so
-# that its peers reconnect at once.
-FAST_RETRIES = 30
-MAX_FAST_RETRY_DELAY_S = 0.08
 MAX_UNSENT_BYTES = 16 << 20  # written to a peer that does not read
-MAX_CONNECTIONS = 600  # of one listener
-CONNECTION_FD_SHARE = 1 / 4  # of a process's descriptors, for the connections of one listener
-PARTIAL_MEMORY_SHARE = 1 / 8  # of a process's memory, for messages that have not arrived whole
-MAX_PARTIAL_BYTES = 32 << 20  # of these, where the memory is not known
-UNREAD_MEMORY_SHARE = 1 / 6  # of a process's memory, for messages that peers have not read
-MAX_UNREAD_BYTES = 48 << 20  # of these, where the memory is not known
 MAX_DIRECT_MESSAGES = 64  # of one connection that are handled as they arrive; further ones wait for its turn
 MESSAGES_PER_TURN = 16
 PING_TOLERANCE = 0.95  # share of PING_INTERVAL_S, so that a check slightly early still sends its ping
@@ -71,21 +53,6 @@
 oversized_messages = OversizedMessages()
 
 
-def max_partial_bytes(memory_mb: float) -> int:
-    """Return how many bytes of partial messages a process with this much memory keeps."""
-    return int(PARTIAL_MEMORY_SHARE * memory_mb * (1 << 20))
-
-
-def max_unread_bytes(memory_mb: float) -> int:
-    """Return how many bytes of messages a process with this much memory keeps for peers that do not read."""
-    return int(UNREAD_MEMORY_SHARE * memory_mb * (1 << 20))
-
-
-def max_connections(fd_limit: int) -> int:
-    """Return how many connections of one listener a process with so many descriptors takes."""
-    return min(MAX_CONNECTIONS, int(CONNECTION_FD_SHARE * fd_limit))
-
-
 class Connection(asyncio.Protocol):
     """One connection to another process of the system."""
 
@@ -291,142 +258,3 @@
         if self.transport is not None:
             self.transport.abort()
         self.mark_disconnected()
-
-
-def reconnect_delay(failed_attempts: int) -> float:
-    """Return the seconds to wait before the next connect, after `failed_attempts` failures in a row."""
-    max_delay = MAX_FAST_RETRY_DELAY_S if failed_attempts < FAST_RETRIES else MAX_RETRY_DELAY_S
-    return min(max_delay, FIRST_RETRY_DELAY_S * (1 << min(failed_attempts, 4)))
-
-
-class Connector:
-    """Keeps one connection to an address open and reconnects whenever it ends."""
-
-    connection_class: type[Connection] = Connection
-
-    def __init__(
-        self,
-        address: Address,
-        on_message: Callable[[Connection, Message], None],
-        on_connect: Callable[[Connection], None] | None = None,
-        on_disconnect: Callable[[Connection], None] | None = None,
-    ) -> None:
-        self.address = address
-        self.on_message, self.on_connect, self.on_disconnect = on_message, on_connect, on_disconnect
-        self.connection: Connection | None = None
-        self.is_closed = False
-        self.failed_attempts = 0  # in a row
-        self.task = asyncio.get_running_loop().create_task(self.keep_connected())
-
-    @property
-    def is_connected(self) -> bool:
-        return self.connection is not None and self.connection.is_connected
-
-    async def keep_connected(self) -> None:
-        """Connect, wait for the connection's end, and start again until closed."""
-        loop = asyncio.get_running_loop()
-        while not self.is_closed:
-            disconnected = asyncio.Event()
-
-            def handle_disconnect(connection: Connection, disconnected: asyncio.Event = disconnected) -> None:
-                disconnected.set()
-                if self.on_disconnect is not None:
-                    self.on_disconnect(connection)
-
-            connection = self.connection_class(self.on_message, self.on_connect, handle_disconnect)
-
-            def protocol_factory(protocol: Connection = connection) -> Connection:
-                return protocol
-
-            connection.peer = self.address
-            # Set before connecting: the on_connect callback may send through this connector at once.
-            self.connection = connection
-            try:
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    await loop.create_connection(protocol_factory, self.address.host, self.address.port)
-                self.failed_attempts = 0
-                await disconnected.wait()
-            except (OSError, TimeoutError):
-                self.failed_attempts += 1
-                if connection.transport is not None:
-                    connection.abort()
-            if not self.is_closed:
-                await asyncio.sleep(reconnect_delay(self.failed_attempts))
-
-    def send(self, message: Message) -> bool:
-        """Send a message if connected; return whether it was sent."""
-        if self.connection is None or not self.connection.is_connected:
-            return False
-        self.connection.send(message)
-        return True
-
-    async def call(self, message: Message, timeout: float) -> Message:
-        """Send a message and return its answer, as `Connection.call`.  Raises TransportError."""
-        if self.connection is None or not self.connection.is_connected:
-            raise TransportError("not connected")
-        return await self.connection.call(message, timeout)
-
-    def close(self) -> None:
-        self.is_closed = True
-        self.task.cancel()
-        if self.connection is not None:
-            self.connection.abort()
-
-
-class Listener:
-    """Accepts connections from other processes of the system."""
-
-    def __init__(
-        self,
-        on_message: Callable[[Connection, Message], None],
-        on_connect: Callable[[Connection], None] | None = None,
-        on_disconnect: Callable[[Connection], None] | None = None,
-        max_connections: int = MAX_CONNECTIONS,
-        max_partial_bytes: int = MAX_PARTIAL_BYTES,
-        max_unread_bytes: int = MAX_UNREAD_BYTES,
-    ) -> None:
-        """Connections over `max_connections` are aborted as soon as they are accepted.
-
-        `max_partial_bytes`: of messages that have not arrived whole, on all connections; `max_unread_bytes`:
-        of those that peers have not read.
-        """
-        self.on_message, self.on_connect, self.on_disconnect = on_message, on_connect, on_disconnect
-        self.max_connections = max_connections
-        self.connections: set[Connection] = set()
-        self.partial_frames = PartialFrames(max_partial_bytes)
-        self.unread_messages = UnreadMessages(max_unread_bytes)
-        self.receive_queue: ReceiveQueue | None = None  # from the start on
-        self.server: asyncio.Server | None = None
-
-    async def start(self, address: Address, listening: socket.socket | None = None) -> int:
-        """Listen at `address`, where `listening` may listen already; return the port.  Raises OSError."""
-        loop = asyncio.get_running_loop()
-        self.receive_queue = ReceiveQueue(loop)
-        if listening is None:
-            listening = socket.create_server((address.host, address.port), backlog=LISTEN_BACKLOG)
-        self.server = await loop.create_server(self.create_protocol, sock=listening, backlog=LISTEN_BACKLOG)
-        return int(self.server.sockets[0].getsockname()[1])
-
-    def create_protocol(self) -> Connection:
-        connection = Connection(self.on_message, self.add_connection, self.remove_connection)
-        connection.receive_queue, connection.partial_frames = self.receive_queue, self.partial_frames
-        connection.unread_messages = self.unread_messages
-        return connection
-
-    def add_connection(self, connection: Connection) -> None:
-        self.connections.add(connection)
-        if len(self.connections) > self.max_connections:
-            connection.abort()
-        elif self.on_connect is not None:
-            self.on_connect(connection)
-
-    def remove_connection(self, connection: Connection) -> None:
-        self.connections.discard(connection)
-        if self.on_disconnect is not None:
-            self.on_disconnect(connection)
-
-    def close(self) -> None:
-        if self.server is not None:
-            self.server.close()
-        for connection in list(self.connections):
-            connection.abort()
--- a/tests/config_store/test_isolation.py
+++ b/tests/config_store/test_isolation.py
@@ -13,7 +13,7 @@
 from ivymux.config_store.records import EpochRecord, Membership
 from ivymux.data_plane.limits import Address
 from ivymux.runtime.settings import Settings, load
-from ivymux.transport.connection import Connector
+from ivymux.transport.connector import Connector
 
 from ..sockets import run, until
 
--- a/tests/config_store/test_record_repair.py
+++ b/tests/config_store/test_record_repair.py
@@ -34,7 +34,7 @@
 )
 from ivymux.simulation.core_cluster import CoreCluster, GuaranteeViolation
 from ivymux.simulation.local_cluster import LocalCluster, build_configuration, local_cluster
-from ivymux.transport.connection import Connector
+from ivymux.transport.connector import Connector
 from ivymux.transport.frames import MAX_FRAME_BYTES
 
 from .test_epochs import started_cluster
--- a/tests/proxy/test_distributed_counter.py
+++ b/tests/proxy/test_distributed_counter.py
@@ -12,7 +12,8 @@
 from ivymux.proxy.counter_holders import CounterHolders
 from ivymux.proxy.distributed_counter import DistributedCounter
 from ivymux.proxy.lease_counts import LeaseCounts
-from ivymux.transport.connection import Connection, Listener
+from ivymux.transport.connection import Connection
+from ivymux.transport.listener import Listener
 from orchidhill.interface import Count, Counted, Late, Outcome
 
 from ..sockets import run, until
--- a/tests/proxy/test_keyed_actions.py
+++ b/tests/proxy/test_keyed_actions.py
@@ -17,7 +17,8 @@
     parse_key,
     replay_answer,
 )
-from ivymux.transport.connection import Connector, TransportError
+from ivymux.transport.connection import TransportError
+from ivymux.transport.connector import Connector
 
 
 @pytest.mark.parametrize(
--- a/tests/proxy/test_start.py
+++ b/tests/proxy/test_start.py
@@ -19,7 +19,7 @@
 from ivymux.runtime.listening_sockets import ListeningSockets
 from ivymux.runtime.settings import load
 from ivymux.simulation.local_cluster import LocalCluster, build_configuration
-from ivymux.transport.connection import (
+from ivymux.transport.connector import (
     FAST_RETRIES,
     MAX_FAST_RETRY_DELAY_S,
     MAX_RETRY_DELAY_S,
--- a/tests/transport/test_unread_messages.py
+++ b/tests/transport/test_unread_messages.py
@@ -13,8 +13,9 @@
 from hypothesis import strategies as st
 
 from ivymux.data_plane.limits import Address
-from ivymux.transport.connection import Connection, Listener
+from ivymux.transport.connection import Connection
 from ivymux.transport.frames import Message, encode_frame
+from ivymux.transport.listener import Listener, ListenerLimits
 from ivymux.transport.unread_messages import MIN_VICTIM_BYTES, UnreadMessages
 
 KIB = 1 << 10
@@ -125,7 +126,7 @@
         connection.answer(message, content=bytes(ANSWER_BYTES))
 
     async def scenario() -> int:
-        listener = Listener(on_message, max_unread_bytes=MAX_UNREAD_BYTES)
+        listener = Listener(on_message, limits=ListenerLimits(max_unread_bytes=MAX_UNREAD_BYTES))
         port = await listener.start(Address("127.0.0.1", 0))
         tracemalloc.start()
         callers = [connect_and_call(port) for _ in range(CALLERS)]
