Slow readers: closed sooner the more answers wait for room

Answers that wait for room occupy their backends, and one reader at a time was closed, after 2 s.

Change: while n answers wait, the n slowest readers that need over 2 s more are closed once each has had 2 s / n, 0.25 s at the least. With one waiting answer nothing changes.

--- a/ivymux/data_plane/server.py
+++ b/ivymux/data_plane/server.py
@@ -17,7 +17,7 @@
 from ivymux.data_plane.receive_queue import ReceiveQueue
 from ivymux.data_plane.refusal_log import RefusalLog
 from ivymux.data_plane.refusals import GATEWAY
-from ivymux.data_plane.slow_readers import ReadProgress, reader_to_close, slowest
+from ivymux.data_plane.slow_readers import ReadProgress, readers_to_close, slowest
 
 if TYPE_CHECKING:
     from ivymux.data_plane.host import Host
@@ -75,7 +75,7 @@
         self.listening_socket: socket.socket | None = None  # until connections are accepted from it
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.close_overdue)
         self.refusal_log = host.refusal_log if host is not None else RefusalLog()
-        self.are_answers_held_up: Callable[[], bool] = lambda: False  # by clients that do not read theirs
+        self.waiting_answers: Callable[[], int] = lambda: 0  # that wait for room among the unread ones
         # Called when clients may have read answers that waited.
         self.on_answers_read: Callable[[], None] = lambda: None
 
@@ -259,7 +259,7 @@
         self.close_stalled_readers()
         self.limit_slow_readers()
         self.on_answers_read()
-        self.close_reader_that_holds_others_up()
+        self.close_readers_that_hold_others_up()
         self.sweep_timer = self.loop.call_later(SWEEP_INTERVAL_S, self.close_overdue)
 
     def limit_slow_readers(self) -> None:
@@ -272,12 +272,9 @@
             self.closed_slow_readers += 1
             client.abort()
 
-    def close_reader_that_holds_others_up(self) -> None:
-        """Close the slowest reader while answers to others wait for room, unless it needs little time."""
-        if not self.are_answers_held_up():
-            return
-        client = reader_to_close(self.slow_readers, time.monotonic())
-        if client is not None:
+    def close_readers_that_hold_others_up(self) -> None:
+        """Close slow readers while answers to others wait for room."""
+        for client in readers_to_close(self.slow_readers, time.monotonic(), self.waiting_answers()):
             self.closed_slow_readers += 1
             client.abort()
 
--- a/ivymux/data_plane/slow_readers.py
+++ b/ivymux/data_plane/slow_readers.py
@@ -7,7 +7,7 @@
 
 Client = TypeVar("Client")
 MIN_OBSERVATION_S = 0.25  # before which a client's rate says nothing
-PATIENCE_S = 2.0  # that a reader has before it is closed because answers to others wait for it
+PATIENCE_S = 2.0  # that a reader has while one answer to another client waits for room
 
 
 class ReadProgress:
@@ -57,17 +57,19 @@
         yield client
 
 
-def reader_to_close(readers: Mapping[Client, ReadProgress], now: float) -> Client | None:
-    """Return the client that needs longest, if its connection is to be closed as answers to others wait.
+def readers_to_close(readers: Mapping[Client, ReadProgress], now: float, waiting_count: int) -> list[Client]:
+    """Return the clients to close because `waiting_count` answers to others wait for room, slowest first.
 
-    Clients that have had less than PATIENCE_S, or will have read their answers within that time, are kept.
+    The more answers wait, the less time a reader has had.  Clients that will have read their answers within
+    PATIENCE_S are kept.
     """
-    remaining = {
+    if not waiting_count:
+        return []
+    observation_s = max(MIN_OBSERVATION_S, PATIENCE_S / waiting_count)
+    remaining_s = {
         client: progress.remaining_s(now)
         for client, progress in readers.items()
-        if now - progress.since >= PATIENCE_S
+        if now - progress.since >= observation_s
     }
-    slowest_client = max(remaining, key=lambda client: remaining[client], default=None)
-    if slowest_client is None or remaining[slowest_client] <= PATIENCE_S:
-        return None
-    return slowest_client
+    slow = [client for client in remaining_s if remaining_s[client] > PATIENCE_S]
+    return sorted(slow, key=lambda client: remaining_s[client], reverse=True)[:waiting_count]
--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -130,7 +130,7 @@
         flow = upstream.answer_flow
         flow.unread_bytes = self.server.unread_answer_bytes
         flow.room_bytes = flow.max_unread_bytes = self.server.answer_room_bytes
-        self.server.are_answers_held_up = lambda: flow.is_held_up
+        self.server.waiting_answers = lambda: len(flow.paused) if flow.is_held_up else 0
         self.server.answer_bytes = lambda: flow.held_bytes + self.server.unread_answer_bytes()
         self.server.on_answers_read = upstream.answer_flow.update
         status_bounds = Bounds(64, 8, 0, 1 << 16, max_total_head_bytes=1 << 20)
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -16,7 +16,7 @@
 from ivymux.data_plane.frontend import Answer
 from ivymux.data_plane.limits import Address, Bounds
 from ivymux.data_plane.server import Server
-from ivymux.data_plane.slow_readers import PATIENCE_S, ReadProgress, reader_to_close, slowest
+from ivymux.data_plane.slow_readers import PATIENCE_S, ReadProgress, readers_to_close, slowest
 from ivymux.proxy.status_pages import StatusPagesFrontend
 
 from .sockets import run, until
@@ -264,14 +264,13 @@
     run(test())
 
 
-def test_the_reader_that_needs_longest_is_closed_where_answers_to_others_wait() -> None:
+def test_the_readers_that_need_longest_are_closed_where_answers_to_others_wait() -> None:
     readers = {
         "slow": reader_progress(1000, 100, PATIENCE_S), "silent": reader_progress(100, 0, PATIENCE_S),
-        "fast": reader_progress(1000, 1000, PATIENCE_S), "new": reader_progress(1000, 0, 0.9 * PATIENCE_S),
+        "fast": reader_progress(1000, 1000, PATIENCE_S), "new": reader_progress(1000, 0, PATIENCE_S / 4),
     }  # fmt: skip
-    assert reader_to_close(readers, 10.0) == "silent"
-    del readers["silent"]
-    assert reader_to_close(readers, 10.0) == "slow"
-    del readers["slow"]
-    assert reader_to_close(readers, 10.0) is None
-    assert reader_to_close({}, 10.0) is None
+    assert readers_to_close(readers, 10.0, 0) == []
+    assert readers_to_close(readers, 10.0, 1) == ["silent"]
+    assert readers_to_close(readers, 10.0, 3) == ["silent", "slow"]
+    assert readers_to_close(readers, 10.0, 4) == ["silent", "new", "slow"]  # each has had a quarter
+    assert readers_to_close({}, 10.0, 4) == []
