Two tests of `ivymux host` and `serve`: no bound on the machine's speed

test_a_quota_is_kept_across_gateways: 18 served where at most 14 may be. It allowed a burst of 10 and 0.4 s of a rate of 10, however long its 40 requests take. With 20 ms between them it fails with the same 18.

test_a_request_keeps_its_description: 504 in place of 200. The change of the description starts a process, and took longer than the request's deadline; beside 12 busy processes 2 of 12 cases failed so.

--- a/tests/hosting/test_tenant_counters.py
+++ b/tests/hosting/test_tenant_counters.py
@@ -50,17 +50,17 @@
                 for fixture in (one, two):
                     await fixture.gateway.follow()
 
-                async def served(name: str, count: int) -> int:
-                    got = 0
+                async def served(name: str, count: int) -> tuple[int, float]:
+                    """Return how many requests of a tenant were served, and how many its quota allowed."""
+                    got, started_at = 0, time.monotonic()
                     for turn in range(count):
                         fixture: HostingFixture = (one, two)[turn % 2]
                         got += (await fixture.ask(fixture.tenants[name])).status == 200
-                    return got
+                    return got, 10.0 + 10.0 * (time.monotonic() - started_at)
 
-                assert (
-                    8 <= await served("a", 40) <= 14
-                )  # a burst of 10 and the rate meanwhile, not twice that
-                assert 8 <= await served("b", 40) <= 14  # tenant a used none of it
+                for name in ("a", "b"):  # tenant a used none of the quota of b
+                    got, allowed = await served(name, 40)
+                    assert 8 <= got <= allowed + 1
 
     run(test())
 
--- a/tests/service/test_standalone.py
+++ b/tests/service/test_standalone.py
@@ -54,7 +54,8 @@
     """The description changes during the first attempt; whether to retry depends on the old one's effect."""
 
     def document(effect: str) -> Any:
-        return described({"/a": {"get": operation(x={"effect": effect})}})
+        # The change, which starts a process, is over before the deadline on a busy machine too.
+        return described({"/a": {"get": operation(x={"effect": effect, "deadline": 20.0})}})
 
     async def test() -> None:
         tasks: list[asyncio.Task[bool]] = []
