Long answers: written in the blocks in which they arrived

Cause: a whole answer was joined from its blocks, and joined once more with its head.

Change: `Result` and `Answer` keep the blocks of a body of 64 KiB or more (`long_body`), a frontend returns an answer as pieces, and these are written without a copy (`write_pieces`, which requests use too). Shorter ones are joined as before.

--- a/ivymux/data_plane/attempt.py
+++ b/ivymux/data_plane/attempt.py
@@ -8,15 +8,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from ivymux.data_plane.body_buffer import Blocks, total_length
+from ivymux.data_plane.body_buffer import Blocks
 from ivymux.data_plane.frontend import Answer
+from ivymux.data_plane.piece_writer import write_pieces
 from orchidhill.interface import Outcome
 
 if TYPE_CHECKING:
     from ivymux.data_plane.backend_connection import BackendConnection
 
-MIN_SEPARATE_BODY_BYTES = 64 << 10  # below which one copy costs less than a second write
-
 
 @dataclass(slots=True)
 class Result:
@@ -29,10 +28,13 @@
     content_type: bytes = b""
     status: int = 0  # of the backend, if its answer may be passed on
     headers: list[tuple[bytes, bytes]] | None = None  # likewise
+    long_body: Blocks = ()  # in place of `body`, if it is long
 
     def backend_answer(self) -> Answer:
         """Return the backend's answer as it was given; statuses that are not passed on count as 200."""
-        return Answer(self.status or 200, self.body, self.content_type, headers=self.headers)
+        return Answer(
+            self.status or 200, self.body, self.content_type, headers=self.headers, long_body=self.long_body
+        )
 
 
 class Attempt:
@@ -76,10 +78,7 @@
 
     def write_to(self, transport: asyncio.Transport) -> None:
         """Write its bytes, and drop them; a long body is not copied."""
-        if total_length(self.body) < MIN_SEPARATE_BODY_BYTES:
-            transport.write(b"".join((self.payload, *self.body)))
-        else:
-            transport.writelines((self.payload, *self.body))
+        write_pieces(transport, (self.payload, *self.body))
         self.payload, self.body = b"", ()
 
     def finish(self, result: Result) -> None:
--- a/ivymux/data_plane/backend_connection.py
+++ b/ivymux/data_plane/backend_connection.py
@@ -13,7 +13,7 @@
 
 from ivymux.data_plane.answer_policy import has_no_body
 from ivymux.data_plane.attempt import Attempt, Result
-from ivymux.data_plane.body_buffer import BodyBuffer
+from ivymux.data_plane.body_buffer import MIN_LONG_BODY_BYTES, BodyBuffer
 from orchidhill.interface import Outcome
 
 if TYPE_CHECKING:
@@ -324,12 +324,14 @@
             self.pool.upstream.answer_flow.remove(self)
             self.begin_answer()
             return
+        is_long = self.body.length >= MIN_LONG_BODY_BYTES
         self.result = Result(
             self.policy.outcome(status, self.not_started),
             time.perf_counter() - self.attempt.started_at,
             self.pool.upstream.parse_report(self.load_report),
-            b"".join(self.body.blocks),
+            b"" if is_long else b"".join(self.body.blocks),
             self.content_type,
+            long_body=self.body.blocks if is_long else (),
         )
         if self.policy.passes_all_statuses and self.policy.may_pass_on(status):
             self.result.status, self.result.headers = status, self.headers
--- a/ivymux/data_plane/body_buffer.py
+++ b/ivymux/data_plane/body_buffer.py
@@ -9,6 +9,7 @@
 from collections.abc import Sequence
 
 BLOCK_BYTES = 64 << 10
+MIN_LONG_BODY_BYTES = 64 << 10  # below which one copy costs less than further writes
 
 Blocks = Sequence[bytes | bytearray]
 
--- a/ivymux/data_plane/client_connection.py
+++ b/ivymux/data_plane/client_connection.py
@@ -11,8 +11,9 @@
 
 import httptools
 
-from ivymux.data_plane.body_buffer import BodyBuffer
+from ivymux.data_plane.body_buffer import BodyBuffer, total_length
 from ivymux.data_plane.frontend import CLOSE_CONNECTION, Answer, BadRequest, Call
+from ivymux.data_plane.piece_writer import write_pieces
 from ivymux.data_plane.slow_readers import ReadProgress
 
 if TYPE_CHECKING:
@@ -404,10 +405,10 @@
             server_ends = self.server.is_stopping or self.server.closes_after_answer
             is_last = server_ends and not self.exchanges
             close = not exchange.keep_alive or is_last or answer.status == CLOSE_CONNECTION
-            data = self.server.frontend.encode(answer, close, exchange.call)
+            pieces = self.server.frontend.encode(answer, close, exchange.call)
             exchange.answer = None  # its body is not kept until the request is collected
-            self.note_written(len(data))
-            self.transport.write(data)
+            self.note_written(total_length(pieces))
+            write_pieces(self.transport, pieces)
             if close:
                 self.end_sending()
                 return
--- a/ivymux/data_plane/frontend.py
+++ b/ivymux/data_plane/frontend.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ivymux.data_plane.body_buffer import Blocks
+from ivymux.data_plane.body_buffer import Blocks, total_length
 from ivymux.data_plane.client_departures import OnDeparture
 from orchidhill import interface as i
 
@@ -37,6 +37,16 @@
     retry_after: float = 0.0  # seconds; 0 for no Retry-After
     headers: Headers | None = None
     extra_headers: Headers | None = None
+    long_body: Blocks = ()  # in place of `body`, if it is long
+
+    @property
+    def body_length(self) -> int:
+        """The length of the body in bytes."""
+        return len(self.body) + total_length(self.long_body)
+
+    def whole_body(self) -> bytes:
+        """Return the body in one piece; a long one takes its memory once more."""
+        return b"".join(self.long_body) if self.long_body else self.body
 
 
 class Claim(Protocol):
@@ -119,5 +129,5 @@
     def refusal(self, error: BadRequest) -> Answer:
         """Return the answer to a refused request."""
 
-    def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
-        """Return an answer as bytes; `call`: the request it answers, None if that was refused."""
+    def encode(self, answer: Answer, close: bool, call: Call | None) -> Blocks:
+        """Return an answer as pieces of bytes; `call`: the request it answers, None if that was refused."""
--- a/ivymux/data_plane/upstream.py
+++ b/ivymux/data_plane/upstream.py
@@ -199,7 +199,7 @@
 
         def on_answer(result: Result) -> None:
             if result.outcome is Outcome.OK and not result.report:
-                result.report = self.parse_report(result.body)
+                result.report = self.parse_report(result.backend_answer().whole_body())
             on_done(result)
 
         payload = b"GET " + path + b" HTTP/1.1\r\nHost: origin.svc\r\n\r\n"
--- a/ivymux/hosting/server.py
+++ b/ivymux/hosting/server.py
@@ -66,15 +66,15 @@
     def refusal(self, error: BadRequest) -> Answer:
         return refusal_answer(error)
 
-    def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
+    def encode(self, answer: Answer, close: bool, call: Call | None) -> Blocks:
         if call is not None:
-            return encode_answer(answer, close, call)
+            return (encode_answer(answer, close, call),)
         if self.refusals.get(int(answer.retry_after)) is answer:
             key = int(answer.retry_after), close
             if key not in self.encoded_refusals:
                 self.encoded_refusals[key] = encode_answer(answer, close, None)
-            return self.encoded_refusals[key]
-        return encode_answer(answer, close, None)
+            return (self.encoded_refusals[key],)
+        return (encode_answer(answer, close, None),)
 
 
 class HostedExchange(Exchange):
--- a/ivymux/platform/frontend.py
+++ b/ivymux/platform/frontend.py
@@ -68,12 +68,13 @@
     def refusal(self, error: BadRequest) -> Answer:
         return Answer(error.status, f"{error}\n".encode(), retry_after=1.0 if error.status == 503 else 0.0)
 
-    def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
-        head = f"HTTP/1.1 {answer.status} {REASONS[answer.status]}\r\nContent-Length: {len(answer.body)}\r\n"
+    def encode(self, answer: Answer, close: bool, call: Call | None) -> Blocks:
+        body = answer.whole_body()
+        head = f"HTTP/1.1 {answer.status} {REASONS[answer.status]}\r\nContent-Length: {len(body)}\r\n"
         if answer.retry_after > 0:
             head += f"Retry-After: {answer.retry_after:.3f}\r\n"
         if close:
             head += "Connection: close\r\n"
         if answer.content_type:
-            return head.encode() + b"Content-Type: " + answer.content_type + b"\r\n\r\n" + answer.body
-        return head.encode() + b"\r\n" + answer.body
+            return (head.encode() + b"Content-Type: " + answer.content_type + b"\r\n\r\n" + body,)
+        return (head.encode() + b"\r\n" + body,)
--- a/ivymux/proxy/frontend.py
+++ b/ivymux/proxy/frontend.py
@@ -202,10 +202,10 @@
         retry_after = STARTUP_RETRY_AFTER_S if is_starting else UNAVAILABLE_RETRY_AFTER_S
         return Answer(error.status, body, retry_after=retry_after)
 
-    def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
+    def encode(self, answer: Answer, close: bool, call: Call | None) -> Blocks:
         status = answer.status
         if status == CLOSE_CONNECTION:
-            return b""
+            return (b"",)
         if call is not None and call.drops_answer and answer.headers is not None:
             answer, status = Answer(502, LOST_ANSWER_TEXT), 502
         parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, "Answer").encode())]
@@ -215,7 +215,7 @@
             parts.append(b"try-id: %s\r\n" % call.request_id)
         has_no_body = status in (204, 304)
         if not has_no_body:
-            parts.append(b"content-length: %d\r\n" % len(answer.body))
+            parts.append(b"content-length: %d\r\n" % answer.body_length)
         if answer.retry_after > 0:
             parts.append(b"retry-after: %.3f\r\n" % answer.retry_after)
         if close:
@@ -223,7 +223,8 @@
         parts.append(b"\r\n")
         if not (has_no_body or (call is not None and call.is_head)):
             parts.append(answer.body)
-        return b"".join(parts)
+            return b"".join(parts), *answer.long_body
+        return (b"".join(parts),)
 
 
 def _no_payload(left: float) -> bytes:
--- a/ivymux/proxy/keyed_actions.py
+++ b/ivymux/proxy/keyed_actions.py
@@ -90,14 +90,14 @@
 
 def encode_answer(answer: Answer, max_chars: int) -> str:
     """Encode an answer for its idempotency record; empty if it is longer than `max_chars`."""
-    if len(answer.body) > max_chars:
+    if answer.body_length > max_chars:
         return ""
     fields = [
         [name.decode("latin-1"), value.decode("latin-1")]
         for name, value in answer.headers or ()
         if name not in PER_ATTEMPT_HEADERS
     ]
-    record = [answer.status, fields, b64encode(answer.body).decode()]
+    record = [answer.status, fields, b64encode(answer.whole_body()).decode()]
     text = msgspec.json.encode(record).decode()
     return text if len(text) <= max_chars else ""
 
--- a/ivymux/proxy/status_pages.py
+++ b/ivymux/proxy/status_pages.py
@@ -44,9 +44,10 @@
     def refusal(self, error: BadRequest) -> Answer:
         return Answer(error.status)
 
-    def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
+    def encode(self, answer: Answer, close: bool, call: Call | None) -> Blocks:
         close_header = b"connection: close\r\n" if close else b""
         reason = REASONS.get(answer.status, "Answer").encode()
-        return b"HTTP/1.1 %d %s\r\ncontent-length: %d\r\n%s\r\n%s" % (
-            answer.status, reason, len(answer.body), close_header, answer.body
+        head = b"HTTP/1.1 %d %s\r\ncontent-length: %d\r\n%s\r\n" % (
+            answer.status, reason, len(answer.body), close_header
         )  # fmt: skip
+        return head, answer.body
--- a/ivymux/service/frontend.py
+++ b/ivymux/service/frontend.py
@@ -225,8 +225,8 @@
         self.refusal_counts[error.status] = self.refusal_counts.get(error.status, 0) + 1
         return refusal_answer(error)
 
-    def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
-        return encode_answer(answer, close, call)
+    def encode(self, answer: Answer, close: bool, call: Call | None) -> Blocks:
+        return (encode_answer(answer, close, call),)
 
 
 def refusal_answer(error: BadRequest) -> Answer:
@@ -244,7 +244,7 @@
 def encode_answer(answer: Answer, close: bool, call: Call | None) -> bytes:
     """Return an answer as bytes of HTTP/1.1; `call`: the request it answers, None if that was refused."""
     is_head = call is not None and call.is_head
-    status, body = answer.status, answer.body
+    status, body = answer.status, answer.whole_body()
     lines = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Unknown"))]
     if answer.headers is not None:
         if is_head or status == 304:
--- a/ivymux/transport/http_calls.py
+++ b/ivymux/transport/http_calls.py
@@ -122,14 +122,14 @@
     def refusal(self, error: BadRequest) -> Answer:
         return error_answer(error.status, str(error))
 
-    def encode(self, answer: Answer, close: bool, call: Call | None) -> bytes:
+    def encode(self, answer: Answer, close: bool, call: Call | None) -> Blocks:
         head = f"HTTP/1.1 {answer.status} {REASON_PHRASES.get(answer.status, 'Answer')}\r\n"
         head += f"Content-Length: {len(answer.body)}\r\n"
         if answer.content_type:
             head += f"Content-Type: {answer.content_type.decode()}\r\n"
         if close:
             head += "Connection: close\r\n"
-        return head.encode() + b"\r\n" + answer.body
+        return head.encode() + b"\r\n", answer.body
 
 
 def _not_forwarded(_: float) -> Any:
--- a/tests/test_client_departures.py
+++ b/tests/test_client_departures.py
@@ -44,6 +44,6 @@
     page = frontend.answer_locally(METRICS + b"?x=1")
     assert page is not None
     assert page.body == b"ivymux_proxy_clients 3\nivymux_proxy_longest_seconds 0.25\n"
-    assert frontend.encode(page, True, None).endswith(b"connection: close\r\n\r\n" + page.body)
+    assert b"".join(frontend.encode(page, True, None)).endswith(b"connection: close\r\n\r\n" + page.body)
     missing = frontend.answer_locally(b"/other")
     assert missing is not None and missing.status == 404
