Slow readers: an answer that is longer than the limit may be read alone

Change: the last reader that is left is not closed for the bytes that it holds. Others wait meanwhile, and close it if it is slow.

--- a/ivymux/data_plane/slow_readers.py
+++ b/ivymux/data_plane/slow_readers.py
@@ -42,16 +42,17 @@
 ) -> Iterator[Client]:
     """Yield the clients to close so that the others keep within the limits, those that need longest first.
 
-    Of clients that have been observed too briefly, the one with the most unsent bytes goes first.
+    Of clients that have been observed too briefly, the one with the most unsent bytes goes first.  A client
+    alone may hold more than `max_bytes`: an answer may be longer than that.
     """
     count, held_bytes = len(readers), sum(progress.held_bytes for progress in readers.values())
-    if count <= max_clients and held_bytes <= max_bytes:
+    if count <= max_clients and (held_bytes <= max_bytes or count == 1):
         return
     by_need = sorted(
         readers.items(), key=lambda item: (item[1].remaining_s(now), item[1].unsent_bytes), reverse=True
     )
     for client, progress in by_need:
-        if count <= max_clients and held_bytes <= max_bytes:
+        if count <= max_clients and (held_bytes <= max_bytes or count == 1):
             return
         count, held_bytes = count - 1, held_bytes - progress.held_bytes
         yield client
