Slow readers: a client on a busy machine is not closed for others

Cause: while others wait, a reader was judged after 0.25 s, and kept only if it needed less than 2 s more. A client that gets little processor time reads nothing for that long.

Change: 0.5 s at the least, and 10 s.

--- a/ivymux/data_plane/slow_readers.py
+++ b/ivymux/data_plane/slow_readers.py
@@ -8,6 +8,8 @@
 Client = TypeVar("Client")
 MIN_OBSERVATION_S = 0.25  # before which a client's rate says nothing
 PATIENCE_S = 2.0  # that a reader has while one answer to another client waits for room
+MIN_PATIENCE_S = 0.5  # the same while many wait; a client on a busy machine may read nothing for less
+SLOW_READER_S = 10.0  # a client that will have read its answers within this time is not closed for others
 
 
 class ReadProgress:
@@ -62,15 +64,15 @@
     """Return the clients to close because `waiting_count` answers to others wait for room, slowest first.
 
     The more answers wait, the less time a reader has had.  Clients that will have read their answers within
-    PATIENCE_S are kept.
+    SLOW_READER_S are kept.
     """
     if not waiting_count:
         return []
-    observation_s = max(MIN_OBSERVATION_S, PATIENCE_S / waiting_count)
+    observation_s = max(MIN_PATIENCE_S, PATIENCE_S / waiting_count)
     remaining_s = {
         client: progress.remaining_s(now)
         for client, progress in readers.items()
         if now - progress.since >= observation_s
     }
-    slow = [client for client in remaining_s if remaining_s[client] > PATIENCE_S]
+    slow = [client for client in remaining_s if remaining_s[client] > SLOW_READER_S]
     return sorted(slow, key=lambda client: remaining_s[client], reverse=True)[:waiting_count]
