Test of kept answers: waits until the core has recorded the lost one's end

The check of the former landing failed once: after the loss of all processes a retry of "lost" got 409 with a time to come back, and the test wanted 502.

A proxy answers 502 first and ends the claim at the core afterwards (up to 8 s, at whichever core machine is primary). The test killed the primary right after that 502, and all other processes as soon as the next primary had answered "a"; the end may then still be on its way. A core that has not recorded the end answers 409 until the claim's time is over (here 3.5 s), then 502: the action is not sent again. That is the design, and the tests of a killed proxy want it.

What it demands after the loss is unchanged: 502 at once at each proxy.

The other case has a test of its own now: nothing was recorded when all processes died; 409 at first, 502 once the time is over, and one run in all.

--- a/tests/system/test_conversations.py
+++ b/tests/system/test_conversations.py
@@ -123,6 +123,8 @@
             desk.make_answer = lambda ran: CLOSE_MARKER
             assert (await try_action(cluster, 0, '"lost"')).startswith("502")
             desk.make_answer = lambda ran: None
+            # A core that had not learnt of the end would answer 409 until the claim's time is over.
+            assert (await try_until_ended(cluster, 0, '"lost"')).startswith("502 whether this action ran")
             ran = len(desk.executed)
             log = (tmp_path / "log.txt").read_text()
             primary = log.split("is in force: primary ")[-1].split(",")[0]
@@ -153,6 +155,33 @@
     asyncio.run(scenario())
 
 
+# Guards against a second run of an action whose end no core machine had recorded when all processes died.
+def test_an_action_whose_end_was_not_recorded_does_not_run_again_after_the_loss_of_all_processes(
+    tmp_path: Path,
+) -> None:
+    async def scenario() -> None:
+        async with local_cluster(tmp_path) as cluster:
+            (desk,) = await start_backends(cluster, "i-desk")
+            desk.answer_gate = asyncio.Event()
+            first = asyncio.get_running_loop().create_task(try_action(cluster, 0, '"lost"'))
+            while not desk.executed:
+                await asyncio.sleep(0.01)
+            for ip in (*cluster.core_ips, *cluster.proxy_ips):
+                await cluster.kill(ip)
+            desk.answer_gate.set()
+            assert await first == "no answer"
+            await cluster.start_all()
+            for ip in cluster.proxy_ips:
+                await cluster.wait_until_served(ip, "/sign/0")
+            assert (await try_action(cluster, 0, '"lost"')).startswith("409 come back")
+            for proxy in range(2):
+                outcome = await try_until_ended(cluster, proxy, '"lost"')
+                assert outcome.startswith("502 whether this action ran")
+            assert [ran.target for ran in desk.executed].count("/sign/1") == 1
+
+    asyncio.run(scenario())
+
+
 # Guards against known keys that get 503 after a loss of all processes, until backends have called again.
 def test_a_known_key_is_answered_by_its_record_while_its_service_has_no_backend(tmp_path: Path) -> None:
     async def scenario() -> None:
