--- a/ivymux/simulation/local_cluster.py
+++ b/ivymux/simulation/local_cluster.py
@@ -211,13 +211,19 @@
         return answer.status_code, answer.content
 
     async def put_configuration(self, body: Any, core_ips: list[str] | None = None) -> tuple[int, bytes]:
-        """Send a configuration to one core machine after another until a status below 500 is returned.
+        """Send a configuration as `put_until_answered` does."""
+        return await self.put_until_answered("/configuration", body, core_ips)
+
+    async def put_until_answered(
+        self, path: str, body: Any, core_ips: list[str] | None = None
+    ) -> tuple[int, bytes]:
+        """Send a change to one core machine after another until a status below 500 is returned.
 
         The pause between two calls grows, as the operators' does.
         """
         pause_s = POLL_INTERVAL_S
         for ip in itertools.cycle(core_ips or self.core_ips):
-            status, answer = await self.call_core("PUT", ip, "/configuration", body)
+            status, answer = await self.call_core("PUT", ip, path, body)
             if status and status < 500:
                 return status, answer
             await asyncio.sleep(pause_s)
--- a/tests/system/test_control.py
+++ b/tests/system/test_control.py
@@ -122,3 +122,22 @@
                 await asyncio.sleep(0.05)
 
     asyncio.run(scenario())
+
+
+# Guards against a change that is neither taken nor refused with what to do, at a machine without its store.
+def test_a_machine_without_its_store_tells_the_operator_to_repeat_the_call(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with local_cluster(tmp_path, core_count=4, proxy_count=0) as cluster:
+            await cluster.start_all(initial_start=True)
+            await cluster.put_configuration(build_configuration(1))
+            machine = next(ip for ip in cluster.core_ips if ip != cluster.primary_ip())
+            _, store = cluster.processes[machine]
+            cluster.monitor.send_signal(store, signal.SIGKILL)
+            await store.wait()
+            settings = {"settings_version": 1, "conversation_header": "X-Matter"}
+            status, answer = await cluster.call_core("PUT", machine, "/conversations", settings)
+            assert status == 503 and json.loads(answer)["error"].endswith("repeat the call")
+            machines = [machine, *(ip for ip in cluster.core_ips if ip != machine)]
+            assert (await cluster.put_until_answered("/conversations", settings, machines))[0] == 200
+
+    asyncio.run(scenario())
