--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -13,8 +13,9 @@
 
 from ivymux.admin import authorization
 from ivymux.admin import operations as operations_module
-from ivymux.admin.app import api_operations, openapi_document
 from ivymux.admin.authorization import ApiError, RateLimiter, parse_if_match
+from ivymux.admin.openapi import openapi_document
+from ivymux.admin.resources import api_operations
 from ivymux.inventory.csv_reader import write_csv
 from ivymux.inventory.model import Inventory, Worker
 from ivymux.tenants.secret import KEY_PATTERN
