Answers that wait for room leave some for what is read after there is none

What callers saw: of 8 clients that ask at once for answers of 25 MiB, where the proxy has 300 MB, some lose their connections, though each reads at once.

Cause: answers from backends wait while those that arrive and those that are unread take more than their room, and the slowest readers lose their connections while the unread ones take more than the same room. A connection is paused after the read that exceeds the room; an answer that ends within that read, or whose head does not fit, becomes unread beyond the room, and an honest client is closed. It needs answers of which a whole number fills the room; 24 MiB, which the tests used, leave 3 MiB.

Now the waiting begins 1 MiB before the closing (an eighth of a small room). The limits are connected in one place, which `ivymux serve` will use too.

--- a/ivymux/proxy/program.py
+++ b/ivymux/proxy/program.py
@@ -9,6 +9,7 @@
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
+from ivymux.data_plane.answer_budget import share_answer_room
 from ivymux.data_plane.frontend import Answer
 from ivymux.data_plane.limits import Address, Bounds, held_body_bytes, parse_address
 from ivymux.data_plane.server import Server
@@ -127,12 +128,7 @@
         )
         self.server = Server(self.frontend, settings.listen_address("front_addr"), bounds, self.host)
         self.server.listening_socket = self.sockets.take(self.server.listen)
-        flow = upstream.answer_flow
-        flow.unread_bytes = self.server.unread_answer_bytes
-        flow.room_bytes = flow.max_unread_bytes = self.server.answer_room_bytes
-        self.server.waiting_answers = lambda: len(flow.paused) if flow.is_held_up else 0
-        self.server.answer_bytes = lambda: flow.held_bytes + self.server.unread_answer_bytes()
-        self.server.on_answers_read = upstream.answer_flow.update
+        share_answer_room(self.server, upstream.answer_flow)
         status_bounds = Bounds(64, 8, 0, 1 << 16, max_total_head_bytes=1 << 20)
         self.ready_server = Server(
             StatusPagesFrontend({READINESS: self.answer_readiness}),
--- a/tests/system/test_memory.py
+++ b/tests/system/test_memory.py
@@ -64,12 +64,17 @@
     asyncio.run(scenario())
 
 
+ROOM_BYTES = (MEMORY_MB << 20) // 4  # that unread answers may take
+THIRD_OF_ROOM = b"b" * (ROOM_BYTES // 3)
+
+
 # Guards against answers that arrive at once and together take more memory than the process has (issue 76).
-def test_long_answers_at_once_stay_within_the_memory(tmp_path: Path) -> None:
+@pytest.mark.parametrize("body", [LONG_BODY, THIRD_OF_ROOM], ids=["long", "third of the room"])
+def test_long_answers_at_once_stay_within_the_memory(tmp_path: Path, body: bytes) -> None:
     async def scenario() -> None:
         async with one_proxy(tmp_path) as cluster:
             (proxy,) = cluster.proxy_ips
-            answer_at_length(cluster)
+            answer_at_length(cluster, body)
             for _ in range(5):
                 requests = (
                     cluster.send_request(proxy, path=f"/read/{number}", Time_Remaining=TIME_REMAINING)
