serve: answers from workers wait for room among the unread ones

What callers saw: 16 clients that read answers of 16 MiB at a steady rate, memory of 256 MB: most lose their connections as slow readers. `ivymux serve` limited what arrives (an eighth of the memory) and what is unread (a quarter) each by itself, so answers were read from workers that had no room among the unread ones.

Now both share a quarter, as in the proxy.

--- a/ivymux/service/standalone.py
+++ b/ivymux/service/standalone.py
@@ -11,9 +11,10 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from ivymux.data_plane.answer_budget import share_answer_room
 from ivymux.data_plane.answer_policy import AnswerPolicy
 from ivymux.data_plane.host import Host
-from ivymux.data_plane.limits import BODY_MEMORY_SHARE, Bounds, ConfigError
+from ivymux.data_plane.limits import ANSWER_MEMORY_SHARE, BODY_MEMORY_SHARE, Bounds, ConfigError
 from ivymux.data_plane.server import Server
 from ivymux.data_plane.upstream import Upstream
 from ivymux.inventory.file_stability import FileStability
@@ -30,7 +31,7 @@
 from ivymux.service.compiler import CompilerError, is_unchanged, load_or_compile
 from ivymux.service.frontend import HttpFrontend
 from ivymux.service.lifecycle import BaseGateway
-from ivymux.service.site import ANSWER_MEMORY_SHARE, SCOPES, Site, SiteError, findings, read_site, settings
+from ivymux.service.site import SCOPES, Site, SiteError, findings, read_site, settings
 from ivymux.tally.clock import SharedClock
 from ivymux.tally.local import LocalCounter
 from ivymux.tally.server import CounterServer
@@ -113,6 +114,7 @@
             self.make_id,
         )  # fmt: skip
         self.server = Server(self.frontend, site.listen, bounds, self.host)
+        share_answer_room(self.server, upstream.answer_flow)
         self.member_list, self.resolver = MemberList(), Resolver()
         self.workers: tuple[Worker, ...] = ()  # the list in force
         self.members_lock = asyncio.Lock()
