Warning about memory: the peak of the starting process is not counted

What operators saw: "has used 399 of 300 MB of memory; a process beyond is killed." in the log of a process of 30 MB, right after its start (in the log of a failed test of ours). `ru_maxrss` outlives an exec, so a process started by a large one reports that one's peak; and as the warning is given once, a true one would not have followed.

The peak is now read as VmHWM from /proc, as the tests' monitor did, whose copy of that reading goes.

--- a/ivymux/runtime/memory_watch.py
+++ b/ivymux/runtime/memory_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import resource
+from pathlib import Path
 
 from ivymux.runtime.log import Log
 
@@ -10,9 +11,22 @@
 KIB_PER_MB = 1024
 
 
-def peak_memory_mb() -> float:
-    """Return the most memory that this process has had resident so far, in MB."""
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KIB_PER_MB
+def peak_memory_mb(process: int | str = "self") -> float:
+    """Return the most memory that a process, given by its id, has had resident so far, in MB.
+
+    Raises OSError if another process has ended.  Where the system has no /proc, only this process's peak is
+    known, and not less than that of the process that started it: `ru_maxrss` outlives an exec.
+    """
+    try:
+        lines = Path(f"/proc/{process}/status").read_text(encoding="ascii", errors="replace").splitlines()
+    except OSError:
+        if process != "self":
+            raise
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / KIB_PER_MB
+    for line in lines:
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) / KIB_PER_MB
+    return 0.0
 
 
 class MemoryWatch:
--- a/ivymux/simulation/process_monitor.py
+++ b/ivymux/simulation/process_monitor.py
@@ -7,10 +7,10 @@
 import os
 import signal
 from dataclasses import dataclass
-from pathlib import Path
+
+from ivymux.runtime.memory_watch import peak_memory_mb
 
 SAMPLE_INTERVAL_S = 0.5
-KIB_PER_MB = 1024
 ENDING_SIGNALS = frozenset({signal.SIGTERM, signal.SIGINT, signal.SIGKILL})
 
 
@@ -77,14 +77,3 @@
     def close(self) -> None:
         for task in self.tasks:
             task.cancel()
-
-
-def peak_memory_mb(process_id: int) -> float:
-    """Return the most memory that a process has had resident so far, in MB.
-
-    Raises OSError if it has ended.
-    """
-    for line in Path(f"/proc/{process_id}/status").read_text(encoding="ascii").splitlines():
-        if line.startswith("VmHWM:"):
-            return int(line.split()[1]) / KIB_PER_MB
-    return 0.0
--- a/tests/system/test_memory.py
+++ b/tests/system/test_memory.py
@@ -10,8 +10,8 @@
 import httpx
 import pytest
 
+from ivymux.runtime.memory_watch import peak_memory_mb
 from ivymux.simulation.local_cluster import FRONT_PORT, LocalCluster, build_configuration, local_cluster
-from ivymux.simulation.process_monitor import peak_memory_mb
 from standins.backend import Backend
 
 MEMORY_MB = 300  # in the settings that a LocalCluster writes
--- a/tests/system/test_misbehaving_clients.py
+++ b/tests/system/test_misbehaving_clients.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from ivymux.runtime.memory_watch import peak_memory_mb
 from ivymux.simulation import misbehaving_clients as clients
 from ivymux.simulation.local_cluster import (
     CONTROL_PORT,
@@ -25,7 +26,6 @@
     local_cluster,
 )
 from ivymux.simulation.misbehaving_clients import Crowd, Misbehaviour
-from ivymux.simulation.process_monitor import peak_memory_mb
 from ivymux.transport.frames import encode_frame
 
 pytestmark = pytest.mark.alone
