--- a/tests/config_store/test_disk_recovery.py
+++ b/tests/config_store/test_disk_recovery.py
@@ -35,6 +35,9 @@
     async with local_cluster(folder, proxy_count=0, entry_point=ENTRY_POINT) as cluster:
         await cluster.start_all(initial_start=True)
         await cluster.put_configuration(build_configuration(1))
+        for ip in cluster.core_ips:  # a machine without its store passes no change on
+            while (await cluster.call_core("GET", ip, "/configuration"))[0] != 200:
+                await asyncio.sleep(0.02)
         yield cluster
 
 
