--- a/ivymux/admin/app.py
+++ b/ivymux/admin/app.py
@@ -24,8 +24,9 @@
     parse_if_match,
 )
 from ivymux.admin.calls import Call, Operation, parse_flag
+from ivymux.admin.model import RequestContext
 from ivymux.admin.openapi import openapi_document
-from ivymux.admin.operations import RequestContext, TenantOperations, raise_store_problem
+from ivymux.admin.operations import TenantOperations
 from ivymux.admin.resources import TENANT, api_operations
 from ivymux.admin.responses import (
     on_failure,
@@ -34,6 +35,7 @@
     rate_limit_error,
     to_response,
 )
+from ivymux.admin.transactions import raise_store_problem
 from ivymux.desired.model import Store, StoreError
 from ivymux.tenants.places import ANY_ADDRESS, AddressRules
 
--- a/ivymux/admin/calls.py
+++ b/ivymux/admin/calls.py
@@ -11,7 +11,8 @@
 from starlette.requests import Request
 
 from ivymux.admin.authorization import ApiError, Principal
-from ivymux.admin.operations import RequestContext, Result, TenantOperations
+from ivymux.admin.model import RequestContext, Result
+from ivymux.admin.operations import TenantOperations
 
 DEFAULT_PAGE_SIZE, MAX_PAGE_SIZE = 50, 200
 Handler = Callable[["Call"], Awaitable[Result]]
--- a/ivymux/admin/handlers.py
+++ b/ivymux/admin/handlers.py
@@ -9,7 +9,7 @@
 
 from ivymux.admin.authorization import ApiError, etag_of
 from ivymux.admin.calls import Call, Handler, encode_cursor, parse_page
-from ivymux.admin.operations import Result
+from ivymux.admin.model import Result
 from ivymux.tenants.model import public_document
 
 
--- a/ivymux/admin/openapi.py
+++ b/ivymux/admin/openapi.py
@@ -8,7 +8,7 @@
 
 from ivymux import __version__
 from ivymux.admin.calls import Operation
-from ivymux.admin.operations import InventoryBody
+from ivymux.admin.model import InventoryBody
 from ivymux.admin.resources import OBJECT, api_operations
 from ivymux.admin.responses import PROBLEM_MEDIA_TYPE, TITLES
 from ivymux.service.site import PlanPart
--- a/ivymux/admin/resources.py
+++ b/ivymux/admin/resources.py
@@ -24,7 +24,7 @@
     put_member,
     show,
 )
-from ivymux.admin.operations import InventoryBody
+from ivymux.admin.model import InventoryBody
 from ivymux.service.site import PlanPart
 from ivymux.tenants.model import CustomerPart, public_document
 from ivymux.tenants.shares import TenantLimits
--- a/ivymux/admin/responses.py
+++ b/ivymux/admin/responses.py
@@ -7,7 +7,7 @@
 from starlette.responses import JSONResponse, Response
 
 from ivymux.admin.authorization import ApiError
-from ivymux.admin.operations import Result
+from ivymux.admin.model import Result
 
 PROBLEM_MEDIA_TYPE = "application/problem+json"
 TITLES = {400: "The call can't be read", 401: "No key that counts", 403: "Not allowed", 404: "Not there",
--- a/tests/admin/test_api.py
+++ b/tests/admin/test_api.py
@@ -11,8 +11,7 @@
 
 import pytest
 
-from ivymux.admin import authorization
-from ivymux.admin import operations as operations_module
+from ivymux.admin import authorization, transactions
 from ivymux.admin.authorization import ApiError, RateLimiter, parse_if_match
 from ivymux.admin.openapi import openapi_document
 from ivymux.admin.resources import api_operations
@@ -371,7 +370,7 @@
             )
             # A live gateway that does not apply the change is reported as such.
             await operator.create_tenant("a")
-            monkeypatch.setattr(operations_module, "EFFECT_WAIT_S", 0.05)
+            monkeypatch.setattr(transactions, "EFFECT_WAIT_S", 0.05)
             for task in list(fixture.gateway.tasks):
                 task.cancel()
             slow = await operator.change("DELETE", TENANT)
