host: the answers to all tenants share the room among the unread ones

Each tenant had a limit on what arrives, and nothing related it to what the clients of all tenants had not read.

One flow now counts the answers that arrive for all tenants, within the room that unread ones leave, and each tenant keeps its limit: beyond it only the answer that has been arriving for longest for it is read.

--- a/ivymux/hosting/hosted_tenant.py
+++ b/ivymux/hosting/hosted_tenant.py
@@ -15,6 +15,7 @@
 from ivymux.data_plane.limits import Address
 from ivymux.data_plane.refusal_log import RefusalLog
 from ivymux.data_plane.upstream import Upstream
+from ivymux.hosting.answer_flows import HostedAnswerFlow, TenantAnswerFlow
 from ivymux.hosting.host_lookups import HostLookups
 from ivymux.hosting.tenant_counters import SharedCounter, TenantCounter
 from ivymux.inventory.model import Inventory
@@ -63,6 +64,7 @@
     address_rules: AddressRules = ANY_ADDRESS  # for workers
     host_lookups: HostLookups | None = None  # None: the system resolver, without a limit for each tenant
     refusal_log: RefusalLog | None = None  # shared by all tenants; None: one for each tenant
+    answer_flow: HostedAnswerFlow | None = None  # of the answers to all tenants; None: one for each tenant
 
 
 @dataclass(slots=True)
@@ -266,6 +268,8 @@
             site.file.limits.connect_timeout, site.file.limits.worker_idle, tuple(tenant.reports),
             common.max_backend_connections, policy,
         )  # fmt: skip
+        if common.answer_flow is not None:
+            upstream.answer_flow = TenantAnswerFlow(common.max_held_answer_bytes, common.answer_flow)
         module_settings = replace(
             settings(site, ()), me=common.gateway_number, peers=common.gateway_count,
             counter_timeout=common.counter_timeout_s,
--- a/ivymux/hosting/hosting_gateway.py
+++ b/ivymux/hosting/hosting_gateway.py
@@ -11,9 +11,11 @@
 
 import msgspec
 
+from ivymux.data_plane.answer_budget import share_answer_room
 from ivymux.data_plane.limits import BODY_MEMORY_SHARE, Address, Bounds, ConfigError
 from ivymux.data_plane.refusal_log import RefusalLog
 from ivymux.desired.model import DeletedTenant, GatewayReport, GatewayStore, StoredTenant, StoreError
+from ivymux.hosting.answer_flows import HostedAnswerFlow
 from ivymux.hosting.host_lookups import HostLookups
 from ivymux.hosting.hosted_tenant import GatewaySettings, HostedTenant, UnservableState
 from ivymux.hosting.server import HostedFrontend, HostedServer
@@ -53,11 +55,13 @@
         max_body_bytes, max_answer_bytes = limits.body_kb * 1024, limits.answer_kb * 1024
         self.host_lookups = HostLookups()
         refusal_log = RefusalLog()  # shared by all tenants
+        answer_flow = HostedAnswerFlow(bounds.max_held_answer_bytes)
         self.settings = GatewaySettings(
             hosting.file.name, hosting.file.tally.doors, max_body_bytes, max_answer_bytes,
             max(max_answer_bytes, int(limits.memory_mb * ANSWER_MEMORY_SHARE * (1 << 20)) // 4),
             min(limits.tenant_upstream, bounds.max_backend_connections), tuple(hosting.file.trusted_proxies),
             address_rules=hosting.address_rules, host_lookups=self.host_lookups, refusal_log=refusal_log,
+            answer_flow=answer_flow,
         )  # fmt: skip
         self.tally: CounterServer | None = None  # a counter service that runs in this process
         self.shares = Shares()
@@ -68,6 +72,7 @@
         self.frontend = HostedFrontend(max_body_bytes, max_unread, lambda: not self.server.is_stopping)
         self.server = HostedServer(self.frontend, hosting.listen, bounds, self.shares, self.tenants_by_host)
         self.server.refusal_log = refusal_log
+        share_answer_room(self.server, answer_flow)
         self.revision = -1  # of the desired state that is applied; -1 before the first
         self.lineage = ""  # of that desired state
         self.problems: dict[str, str] = {}  # why a tenant's latest state is not served, by uid
--- a/tests/service/test_frontend.py
+++ b/tests/service/test_frontend.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import socket
 import struct
 from pathlib import Path
 from socket import SO_LINGER, SOL_SOCKET
@@ -13,7 +12,7 @@
 
 from standins.worker import ReceivedRequest, Reply, encode_answer
 from tests.routes.describing import described, operation
-from tests.sockets import run, until
+from tests.sockets import read_steadily, run, until
 
 from .fixtures import PATHS, Client, make_request, read_answer, running_gateway, send_request
 
@@ -392,29 +391,14 @@
 # Guards against honest clients that lose their connections because others read long answers too.
 def test_clients_that_read_long_answers_at_a_steady_rate_get_them_whole(tmp_path: Path) -> None:
     body = b"z" * (16 << 20)  # more than the sockets of loopback addresses hold
-    steps, step_s = 16, 0.1  # of reading an answer
-    clients_count = 16
-
-    async def read_steadily(port: int) -> int:
-        loop = asyncio.get_running_loop()
-        with socket.socket() as connection:
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
-            connection.setblocking(False)
-            await loop.sock_connect(connection, ("127.0.0.1", port))
-            await loop.sock_sendall(connection, make_request("GET /read/1", Connection="close"))
-            length = 0
-            while data := await loop.sock_recv(connection, 1 << 20):
-                length += len(data)
-                if length // (len(body) // steps) > (length - len(data)) // (len(body) // steps):
-                    await asyncio.sleep(step_s)
-            return length
 
     async def test() -> None:
         limits = "answer_kb = 32768\nmemory_mb = 256"
         responder = lambda request: Reply(data=encode_answer(200, body))  # noqa: E731
         async with running_gateway(tmp_path, [responder] * 4, limits=limits) as fixture:
             port = fixture.gateway.port
-            lengths = await asyncio.gather(*(read_steadily(port) for _ in range(clients_count)))
+            request = make_request("GET /read/1", Connection="close")
+            lengths = await asyncio.gather(*(read_steadily(port, request) for _ in range(16)))
             assert min(lengths) > len(body)  # with its head
 
     run(test())
--- a/tests/sockets.py
+++ b/tests/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -32,6 +33,26 @@
     uvloop.run(bounded())
 
 
+READ_STEP_BYTES, READ_STEP_PAUSE_S = 1 << 20, 0.1
+
+
+async def read_steadily(port: int, request: bytes) -> int:
+    """Send a request and read its answer at a steady rate; return the length of the answer with its head."""
+    loop = asyncio.get_running_loop()
+    with socket.socket() as connection:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 << 10)
+        connection.setblocking(False)
+        await loop.sock_connect(connection, ("127.0.0.1", port))
+        await loop.sock_sendall(connection, request)
+        length, next_pause = 0, READ_STEP_BYTES
+        while data := await loop.sock_recv(connection, READ_STEP_BYTES):
+            length += len(data)
+            if length >= next_pause:
+                next_pause += READ_STEP_BYTES
+                await asyncio.sleep(READ_STEP_PAUSE_S)
+        return length
+
+
 async def until(condition: Callable[[], object]) -> None:
     """Wait until a condition is true; the timeout of `run` ends the test if it never is."""
     while not condition():
