Test of a killed proxy: its action is tried until a core machine has claimed it

The test sent one action with 0.6 s left and waited for its execution.

A 503 is now tried again, as callers do; any other outcome before the kill fails as before.

--- a/tests/system/test_conversations.py
+++ b/tests/system/test_conversations.py
@@ -240,9 +240,16 @@
         async with local_cluster(tmp_path) as cluster:
             (desk,) = await start_backends(cluster, "i-desk")
             desk.answer_gate = asyncio.Event()
-            first = asyncio.get_running_loop().create_task(
-                try_action(cluster, 0, '"a"', Time_Remaining="600")
-            )
+
+            async def try_until_sent() -> str:
+                """Try an action that a core machine may not be able to claim yet."""
+                while (outcome := await try_action(cluster, 0, '"a"', Time_Remaining="600")).startswith(
+                    "503"
+                ):
+                    await asyncio.sleep(0.02)
+                return outcome
+
+            first = asyncio.get_running_loop().create_task(try_until_sent())
             while not desk.executed:
                 await asyncio.sleep(0.01)
             await cluster.kill(cluster.proxy_ips[0])
