--- a/ivymux/simulation/day_file.py
+++ b/ivymux/simulation/day_file.py
@@ -61,6 +61,7 @@
     leaves: float = 0.0  # seconds after which the client disconnects without an answer; 0: never
     body: int = 0  # bytes that the client sends as its body
     work: float = 0.0  # seconds that a backend takes for it, beyond the day's `work`
+    answer: int = 0  # bytes of the backend's answer, which is padded with spaces; 0: its usual answer
 
 
 class ConfigurationChange(Record, frozen=True, tag="change"):
--- a/ivymux/simulation/day_player.py
+++ b/ivymux/simulation/day_player.py
@@ -91,7 +91,7 @@
         self.player.observations.append(RunEnd(self.player.now(), request.id, self.name, completed))
 
     def make_answer(self, request: standin.ExecutedRequest) -> bytes | None:
-        """Return the bytes of a spoilt answer; None for an ordinary one."""
+        """Return the bytes of a spoilt or a long answer; None for an ordinary one."""
         fault = self.faults.pop(request.id, "")
         if fault == "lost":
             return standin.CLOSE_MARKER
@@ -99,6 +99,10 @@
             return standin.Backend.encode_answer(200, request.id, b"no seal")
         if fault == "full":
             return standin.Backend.encode_answer(503, request.id, headers="Not-Executed: 1\r\n")
+        if answer_bytes := self.player.answer_bytes.get(request.id, 0):
+            body = f"{self.service} {request.target}".encode().ljust(answer_bytes)
+            seal = f"Server-Seal: seal-{request.id}\r\n"
+            return standin.Backend.encode_answer(200, request.id, body, seal)
         return None
 
 
@@ -108,7 +112,9 @@
     def __init__(self, day: Day, events: Sequence[Event], cluster: LocalCluster) -> None:
         self.day, self.events, self.cluster = day, events, cluster
         self.loop = asyncio.get_running_loop()
-        self.extra_work_s = {event.id: event.work for event in events if isinstance(event, ClientRequest)}
+        requests = [event for event in events if isinstance(event, ClientRequest)]
+        self.extra_work_s = {event.id: event.work for event in requests}
+        self.answer_bytes = {event.id: event.answer for event in requests if event.answer}
         self.began_at = 0.0
         self.observations: list[Observation] = []
         self.backends: dict[str, standin.Backend] = {}
@@ -261,6 +267,9 @@
         if answer is None:
             self.observations.append(ClientAnswer(self.now(), sent, event.id, 0))
             return
+        text = answer.text
+        if event.answer and len(text) == event.answer:
+            text = text.rstrip()
         self.observations.append(
             ClientAnswer(
                 at=self.now(),
@@ -269,7 +278,7 @@
                 status=answer.status_code,
                 named=answer.headers.get("try-id", ""),
                 seal=answer.headers.get("server-seal", ""),
-                body=answer.text[:MAX_BODY_CHARS],
+                body=text[:MAX_BODY_CHARS],
             )
         )
 
--- a/ivymux/simulation/soak.py
+++ b/ivymux/simulation/soak.py
@@ -1,6 +1,6 @@
 """Soaks of the system: seeded plans of overlapping troubles against real processes, checked by the rules.
 
-python3 -m ivymux soak --seed N [--plan troubles|stops|releases] [--runs N] [--seconds S] [--rate R]
+python3 -m ivymux soak --seed N [--plan troubles|stops|releases|answers] [--runs N] [--seconds S] [--rate R]
     [--doors N] [--cores N] [--backends N] [--report DIR]
 
 The programs are started as the deploy file starts them.  A plan depends on its seed alone; the times at which
@@ -22,6 +22,7 @@
 
 from ivymux.runtime.log import fail
 from ivymux.simulation import day_file
+from ivymux.simulation.answer_plan import draw_long_answers
 from ivymux.simulation.day_file import Observation, ProcessUse, RecorderStall
 from ivymux.simulation.day_player import play_day
 from ivymux.simulation.local_cluster import LOG_FILE_NAME
@@ -32,7 +33,12 @@
 from ivymux.simulation.stop_plan import draw_stops
 
 ENTRY_POINT = ("-S", "deploy/start.py")  # as in deploy/system.toml
-PLANS = {"troubles": draw_soak, "stops": draw_stops, "releases": draw_releases}
+PLANS = {
+    "troubles": draw_soak,
+    "stops": draw_stops,
+    "releases": draw_releases,
+    "answers": draw_long_answers,
+}
 MIN_SECONDS = CALM_START_S + CALM_END_S + 1.0
 
 
--- a/tests/simulation/test_soak.py
+++ b/tests/simulation/test_soak.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from ivymux.simulation.answer_plan import ROOM_BYTES, draw_long_answers
 from ivymux.simulation.day_file import (
     ClientAnswer,
     ClientRequest,
@@ -129,6 +130,17 @@
     assert len(set(leaving)) == len(leaving) <= 2 * (size.backends - 2)
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_a_plan_of_long_answers_has_bursts_at_one_proxy_and_some_that_fill_its_room(seed: int) -> None:
+    _, events = draw_long_answers(seed, SoakSize(seconds=120.0))
+    asked = [event for event in events if isinstance(event, ClientRequest) and event.answer]
+    bursts = [list(burst) for _, burst in itertools.groupby(asked, key=lambda event: event.id.split("-")[0])]
+    assert len(bursts) > 10
+    for burst in bursts:
+        assert len({(event.at, event.door, event.answer) for event in burst}) == 1
+    assert any(ROOM_BYTES % burst[0].answer == 0 for burst in bursts)
+
+
 def test_some_plans_of_releases_have_a_tenant_beyond_its_quota() -> None:
     size = SoakSize(seconds=60.0)
     rates = {draw_releases(seed, size)[0].rate for seed in range(20)}
--- a/tests/system/test_memory.py
+++ b/tests/system/test_memory.py
@@ -76,13 +76,10 @@
             (proxy,) = cluster.proxy_ips
             answer_at_length(cluster, body)
             for _ in range(5):
-                requests = (
-                    cluster.send_request(proxy, path=f"/read/{number}", Time_Remaining=TIME_REMAINING)
-                    for number in range(8)
-                )
-                answers = await asyncio.gather(*requests)
                 # None is replaced by a failure for lack of room, or closed as one that reads slowly.
-                assert [answer and answer.status_code for answer in answers] == [200] * len(answers)
+                answers = await asyncio.gather(*(ask_for_long_answer(cluster, n) for n in range(8)))
+                assert [answer.status_code for answer in answers] == [200] * len(answers)
+                assert all(answer.content == body for answer in answers)
             assert peak_memory_mb(cluster.processes[proxy][0].pid) < MEMORY_MB
 
     asyncio.run(scenario())
