Tests of steady readers run alone

They measure against 0.5 s without a byte read, after which a reader counts as slow, and clients, gateway and workers share a process: on a busy machine that says nothing of the gateway.

--- a/tests/hosting/test_answer_flows.py
+++ b/tests/hosting/test_answer_flows.py
@@ -5,6 +5,7 @@
 import asyncio
 from pathlib import Path
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -51,6 +52,7 @@
 
 
 # Guards against honest clients that lose their connections because other tenants' answers are long too.
+@pytest.mark.alone
 def test_clients_of_several_tenants_get_long_answers_whole(tmp_path: Path) -> None:
     body = b"z" * (16 << 20)  # more than the sockets of loopback addresses hold
     limits = "limits = { answer_kb = 32768, memory_mb = 256 }\n"
--- a/tests/service/test_frontend.py
+++ b/tests/service/test_frontend.py
@@ -389,6 +389,7 @@
 
 
 # Guards against honest clients that lose their connections because others read long answers too.
+@pytest.mark.alone
 def test_clients_that_read_long_answers_at_a_steady_rate_get_them_whole(tmp_path: Path) -> None:
     body = b"z" * (16 << 20)  # more than the sockets of loopback addresses hold
 
